--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -3,14 +3,13 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"strconv"
 
-	"gingerpass/decide"
-	"gingerpass/internal/wire"
+	"oakthread/decide"
+	"oakthread/internal/wire"
 )
 
 func main() {
@@ -143,12 +142,12 @@
 			}
 			lists[e.Bank] = es
 		case *wire.Boot:
-			var s wire.Setup
-			if err := json.Unmarshal(e.Setup, &s); err != nil {
+			s, err := wire.ReadSetup(e.Setup)
+			if err != nil {
 				return fmt.Errorf("line %d: boot: field setup: %w", line, err)
 			}
 			h = &instance{who: e.Who, out: &reply}
-			if h.d, err = decide.New(now, settings(&s), e.Seed, h); err != nil {
+			if h.d, err = decide.New(now, s.Decide(), e.Seed, h); err != nil {
 				return fmt.Errorf("line %d: boot: field setup: %w", line, err)
 			}
 			all[e.Who] = h
--- /dev/null
+++ b/cmd/oakthread/main.go
@@ -0,0 +1,123 @@
+// Command oakthread is the dispatcher as a daemon. It wires the parts together and decides nothing.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"oakthread"
+	"oakthread/internal/platform"
+)
+
+const (
+	linger     = 700 * time.Millisecond // new calls keep coming for this long after SIGTERM
+	reserved   = 64                     // descriptors for all but calls and attempts
+	memoryPart = 0.7                    // of the limit, where the collector starts to work harder
+	collectAt  = 400                    // per cent: a small heap on one core is collected seldom
+	countEvery = 10 * time.Second
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, os.Getenv, log); err != nil {
+		fmt.Fprintln(os.Stderr, "oakthread:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, getenv func(string) string, log *slog.Logger) error {
+	cfg, err := platform.Load(getenv)
+	if err != nil {
+		return err
+	}
+	log = log.With("name", cfg.Name)
+	limits(cfg)
+	clients := cfg.Sockets/3 + reserved
+	fleet := platform.NewFleet(cfg.Setup, max(cfg.Sockets-clients-reserved, reserved))
+	defer fleet.Close()
+	peers, err := platform.ListenPeers(cfg, log)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	parts := oakthread.Config{Settings: cfg.Setup.Decide(), Seed: cfg.Seed, Workers: fleet, Log: log,
+		MaxOpen: cfg.Setup.Permissions.OpenCap}
+	if peers != nil {
+		parts.Peers = peers
+	}
+	core, err := oakthread.New(parts)
+	if err != nil {
+		return fmt.Errorf("configuration: settings: %w", err)
+	}
+	defer core.Close()
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("configuration: listen: %w", err)
+	}
+
+	// The list of executors and the peers stay with us until the last answer is given.
+	beside, done := context.WithCancel(context.Background())
+	defer done()
+	go func() { _ = platform.NewChannel(cfg, log).Watch(beside, core.Roster) }()
+	if peers != nil {
+		go func() { _ = peers.Listen(beside, core.Heard) }()
+	}
+	front := platform.NewFront(core, cfg.Setup)
+	go count(beside, core, front, log)
+
+	log.Info("serving", "listen", cfg.Listen, "executors_after", cfg.Cursor)
+	err = front.Serve(ctx, ln, clients, linger, longest(parts)+linger, log)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	log.Info("ended", "left_open", err != nil)
+	return nil
+}
+
+// limits fits the run time to the machine.
+func limits(cfg *platform.Config) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	debug.SetGCPercent(collectAt)
+	if cfg.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Memory)))
+	}
+}
+
+// longest is the longest time that any class of client waits.
+func longest(c oakthread.Config) (most time.Duration) {
+	for _, k := range c.Settings.Classes {
+		most = max(most, time.Duration(k.GiveUp))
+	}
+	return most
+}
+
+// count logs the counters while calls come.
+func count(ctx context.Context, core *oakthread.Core, front *platform.Front, log *slog.Logger) {
+	t := time.NewTicker(countEvery)
+	defer t.Stop()
+	var last oakthread.Counters
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if n := core.Counters(); n != last {
+			last = n
+			log.Info("counts", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed,
+				"timed_out", n.TimedOut, "abandoned", n.Abandoned, "turned_away", n.TurnedAway,
+				"attempts", n.Attempts, "orders", n.Orders, "orders_held", n.OrdersHeld, "bad", front.Bad())
+		}
+	}
+}
--- /dev/null
+++ b/core.go
@@ -0,0 +1,524 @@
+package oakthread
+
+// This file owns the life of requests: one goroutine holds the decision module, takes events over a channel and
+// carries out what the module orders. It owns the one final answer, deadlines, cancels, the cap on open
+// requests and the second look at the ration of orders. It must never block on I/O, choose a worker, or give
+// an answer that the module did not give, save where the module cannot (a full house, an overdue answer).
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oakthread/decide"
+)
+
+// Config is what a Core is made of. Workers is needed; the rest has a zero value that works.
+type Config struct {
+	Settings decide.Settings
+	Seed     uint64
+	MaxOpen  int // requests in hand at a time; 0: 4096
+	Workers  Workers
+	Peers    Peers
+	Settled  func(Settlement) // called for every request that is over; must return at once
+	Log      *slog.Logger
+}
+
+const (
+	defaultOpen  = 4096
+	eventsWait   = 1024                   // events that may wait for the loop
+	rationMargin = 300 * time.Millisecond // an order may be this long on its way to the worker
+	calledFor    = 10 * time.Minute       // orders name only functions called within this time
+	probeTime    = 250 * time.Millisecond
+	overdue      = 20 * time.Millisecond // past a deadline: the module has not answered, so the core does
+)
+
+// Counters count what a Core has done since its start.
+type Counters struct {
+	Taken, Served, Refused, Failed, TimedOut, Abandoned int64
+	TurnedAway                                          int64 // refused by the cap on open requests
+	Attempts, Orders, OrdersHeld                        int64
+}
+
+// Core dispatches requests. Its methods may be called from many goroutines.
+type Core struct {
+	cfg     Config
+	events  chan func()
+	closing chan struct{}
+	stopped chan struct{}
+	once    sync.Once
+	ready   atomic.Bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	// Owned by the loop.
+	d       *decide.Dispatcher
+	last    int64
+	later   []func()
+	open    map[string]*call
+	flights map[flightKey]context.CancelCauseFunc
+	members map[decide.WorkerID]Member
+	called  map[decide.FuncID]calledKey
+	ration  ration
+	swept   time.Time
+	n       Counters
+}
+
+type call struct {
+	req    Request
+	tries  int
+	answer chan result
+}
+
+type result struct {
+	Answer
+	err error
+}
+
+type flightKey struct {
+	id string
+	n  int
+}
+
+type calledKey struct {
+	key string
+	at  time.Time
+}
+
+// New starts a Core. Close ends it.
+func New(cfg Config) (*Core, error) {
+	if cfg.Workers == nil {
+		return nil, errors.New("oakthread: Config.Workers is nil")
+	}
+	if cfg.MaxOpen <= 0 {
+		cfg.MaxOpen = defaultOpen
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	c := &Core{cfg: cfg, events: make(chan func(), eventsWait), closing: make(chan struct{}),
+		stopped: make(chan struct{}), open: map[string]*call{}, flights: map[flightKey]context.CancelCauseFunc{},
+		members: map[decide.WorkerID]Member{}, called: map[decide.FuncID]calledKey{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ration = ration{window: time.Duration(cfg.Settings.LoadWindow), free: cfg.Settings.LoadFree,
+		share: cfg.Settings.LoadShare}
+	d, err := decide.New(c.now(), cfg.Settings, cfg.Seed, (*host)(c))
+	if err != nil {
+		return nil, fmt.Errorf("oakthread: %w", err)
+	}
+	c.d = d
+	go c.loop()
+	return c, nil
+}
+
+func (c *Core) loop() {
+	defer close(c.stopped)
+	for {
+		select {
+		case ev := <-c.events:
+			ev()
+			for len(c.later) > 0 { // what the module may not hear within the event that caused it
+				next := c.later
+				c.later = nil
+				for _, f := range next {
+					f()
+				}
+			}
+		case <-c.closing:
+			for _, k := range c.open {
+				k.answer <- result{err: ErrClosed}
+			}
+			return
+		}
+	}
+}
+
+// post hands an event to the loop; false: the Core is closed.
+func (c *Core) post(ev func()) bool {
+	select {
+	case c.events <- ev:
+		return true
+	case <-c.closing:
+		return false
+	}
+}
+
+// now is the clock as the module reads it: the Unix clock, but never going back.
+func (c *Core) now() int64 {
+	c.last = max(c.last, nanos(time.Now()))
+	return c.last
+}
+
+// Close ends the Core. Requests in hand get ErrClosed: let them end first.
+func (c *Core) Close() {
+	c.once.Do(func() { close(c.closing) })
+	<-c.stopped
+	c.cancel()
+}
+
+// Ready tells whether a list of workers has been loaded.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// Counters returns the counts so far; all zero once closed.
+func (c *Core) Counters() Counters {
+	got := make(chan Counters, 1)
+	if c.post(func() { got <- c.n }) {
+		select {
+		case n := <-got:
+			return n
+		case <-c.stopped:
+		}
+	}
+	return Counters{}
+}
+
+// Roster takes news of the workers.
+func (c *Core) Roster(r Roster) { c.post(func() { c.roster(r) }) }
+
+// Heard takes a message of another dispatcher.
+func (c *Core) Heard(from int, data string) { c.post(func() { c.d.Peer(c.now(), from, data) }) }
+
+// Do takes a request and returns its final answer. If ctx ends before, the request is given up. An error says
+// that there is no answer: the request was not taken, the caller left, or the Core was closed.
+func (c *Core) Do(ctx context.Context, q Request) (Answer, error) {
+	if q.ID == "" || q.Class < 0 || q.Class >= len(c.cfg.Settings.Classes) || q.Deadline.IsZero() {
+		return Answer{}, ErrInvalid
+	}
+	k := &call{req: q, answer: make(chan result, 1)}
+	if !c.post(func() { c.admit(k) }) {
+		return Answer{}, ErrClosed
+	}
+	late := time.NewTimer(time.Until(q.Deadline) + overdue)
+	defer late.Stop()
+	for {
+		select {
+		case r := <-k.answer:
+			return r.Answer, r.err
+		case <-late.C:
+			c.post(func() { c.expire(k) })
+		case <-ctx.Done():
+			c.post(func() { c.abandon(k) })
+			return Answer{}, ctx.Err()
+		case <-c.stopped:
+			select {
+			case r := <-k.answer:
+				return r.Answer, r.err
+			default:
+				return Answer{}, ErrClosed
+			}
+		}
+	}
+}
+
+// admit is the first stage in the loop: it takes a request in hand, or turns it away for want of room.
+func (c *Core) admit(k *call) {
+	if c.open[k.req.ID] != nil {
+		k.answer <- result{err: ErrDuplicate}
+		return
+	}
+	c.n.Taken++
+	now := time.Now()
+	if len(c.open) >= c.cfg.MaxOpen {
+		c.n.TurnedAway++
+		c.open[k.req.ID] = k
+		c.book(k, Answer{Outcome: Refused, Wait: time.Duration(c.cfg.Settings.MaxRetryAfter)}, false)
+		return
+	}
+	c.open[k.req.ID] = k
+	c.ration.took(now)
+	c.called[k.req.Func] = calledKey{k.req.Key, now}
+	c.sweep(now)
+	c.route(k)
+}
+
+// route asks the module, which answers by calls of the host below: a send, a refusal, or nothing yet.
+func (c *Core) route(k *call) {
+	q := &k.req
+	c.d.Request(c.now(), decide.Request{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Func: q.Func,
+		Deadline: nanos(q.Deadline), MemoryMB: q.MemoryMB, Lanes: q.Lanes, LoadTime: int64(q.LoadTime),
+		Repeat: q.Repeat})
+}
+
+var errCalledOff = errors.New("called off")
+
+// send is one attempt, on a goroutine of its own. Its end comes back as an event, exactly once.
+func (c *Core) send(k *call, m Member, until time.Time) {
+	a := Attempt{Request: &k.req, Worker: m, N: k.tries, Until: until}
+	key := flightKey{k.req.ID, k.tries}
+	k.tries++
+	c.n.Attempts++
+	ctx, off := context.WithCancelCause(c.ctx)
+	ctx, done := context.WithDeadline(ctx, until)
+	c.flights[key] = off
+	sent := time.Now()
+	go func() {
+		r := c.cfg.Workers.Send(ctx, a)
+		if ctx.Err() != nil && r.Result != decide.OK {
+			r.Result = decide.Timeout
+			if errors.Is(context.Cause(ctx), errCalledOff) {
+				r.Result = decide.Cancelled
+			}
+		}
+		done()
+		off(nil)
+		c.post(func() { c.landed(key, m.ID, sent, r) })
+	}()
+}
+
+// landed takes the end of an attempt. The first good answer is the request's.
+func (c *Core) landed(key flightKey, w decide.WorkerID, sent time.Time, r Reply) {
+	delete(c.flights, key)
+	k := c.open[key.id]
+	if r.Result == decide.OK && k != nil {
+		c.book(k, Answer{Outcome: Served, Body: r.Body}, false)
+	}
+	c.d.Outcome(c.now(), decide.Outcome{ID: key.id, Attempt: key.n, Worker: w, Result: r.Result,
+		Finished: c.open[key.id] == nil, Warmth: r.Warmth, Crowd: r.Crowd, RTT: int64(time.Since(sent)),
+		Report: r.Report})
+}
+
+// book gives the final answer and tells the observer. No request is booked twice: it leaves the table here.
+func (c *Core) book(k *call, a Answer, abandoned bool) {
+	if c.open[k.req.ID] != k {
+		return
+	}
+	delete(c.open, k.req.ID)
+	switch {
+	case abandoned:
+		c.n.Abandoned++
+	case a.Outcome == Served:
+		c.n.Served++
+	case a.Outcome == Refused:
+		c.n.Refused++
+	case a.Outcome == Failed:
+		c.n.Failed++
+	case a.Outcome == TimedOut:
+		c.n.TimedOut++
+	}
+	k.answer <- result{Answer: a}
+	if c.cfg.Settled != nil {
+		c.cfg.Settled(Settlement{Request: k.req, Answer: a, Abandoned: abandoned, At: time.Now(), Attempts: k.tries})
+	}
+}
+
+// abandon ends a request whose caller left; expire one that the module left without an answer.
+func (c *Core) abandon(k *call) {
+	if c.open[k.req.ID] == k {
+		c.book(k, Answer{Outcome: Failed}, true)
+		c.d.Gone(c.now(), k.req.ID)
+	}
+}
+
+func (c *Core) expire(k *call) {
+	if c.open[k.req.ID] == k {
+		c.cfg.Log.Error("answer overdue, ended by the core", "id", k.req.ID)
+		c.book(k, Answer{Outcome: TimedOut}, false)
+		c.d.Gone(c.now(), k.req.ID)
+	}
+}
+
+// roster keeps the members by id and tells the module. Connections to a worker that left or restarted are void.
+func (c *Core) roster(r Roster) {
+	es := make([]decide.Entry, 0, len(r.Members))
+	named := make(map[decide.WorkerID]bool, len(r.Members))
+	for _, m := range r.Members {
+		named[m.ID] = true
+		old, known := c.members[m.ID]
+		if known && (m.State == decide.Off || !old.Start.Equal(m.Start) || old.Addr != m.Addr) {
+			c.cfg.Workers.Forget(m.ID)
+		}
+		if m.State == decide.Off {
+			delete(c.members, m.ID)
+		} else {
+			c.members[m.ID] = m
+		}
+		es = append(es, decide.Entry{Worker: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
+			Weight: m.Weight, Start: nanos(m.Start)})
+	}
+	if r.Kind == decide.RosterFull || r.Kind == decide.RosterCached {
+		for id := range c.members {
+			if !named[id] {
+				delete(c.members, id)
+				c.cfg.Workers.Forget(id)
+			}
+		}
+		c.ready.Store(true)
+	}
+	c.d.Roster(c.now(), r.Kind, es)
+}
+
+// sweep keeps the table of called functions bounded.
+func (c *Core) sweep(now time.Time) {
+	if now.Sub(c.swept) < calledFor/10 {
+		return
+	}
+	c.swept = now
+	for f, k := range c.called {
+		if now.Sub(k.at) > calledFor {
+			delete(c.called, f)
+		}
+	}
+}
+
+// ration is the second look at the rule on orders to load, at the time when the order leaves: the module's own
+// count is of the time when it decides. Both sides carry a margin for the way to the worker.
+type ration struct {
+	window      time.Duration
+	free, share float64
+	taken       []time.Time
+	ordered     []time.Time
+}
+
+func (r *ration) took(now time.Time) {
+	if r.window > 0 {
+		r.taken = append(trim(r.taken, now.Add(-r.window)), now)
+	}
+}
+
+func (r *ration) allow(now time.Time) bool {
+	if r.window <= 0 {
+		return true
+	}
+	r.taken = trim(r.taken, now.Add(rationMargin-r.window))
+	r.ordered = trim(r.ordered, now.Add(-rationMargin-r.window))
+	if float64(len(r.ordered)+1) > r.free+r.share*float64(len(r.taken)) {
+		return false
+	}
+	r.ordered = append(r.ordered, now)
+	return true
+}
+
+func trim(ts []time.Time, from time.Time) []time.Time {
+	for len(ts) > 0 && ts[0].Before(from) {
+		ts = ts[1:]
+	}
+	return ts
+}
+
+// host carries out the module's actions. Its methods run in the loop, within an event.
+type host Core
+
+func (h *host) Send(id string, w decide.WorkerID, until int64) {
+	c := (*Core)(h)
+	k := c.open[id]
+	if k == nil {
+		return
+	}
+	m, known := c.members[w]
+	if !known || m.State != decide.On {
+		n := k.tries
+		k.tries++
+		sent := time.Now()
+		c.later = append(c.later, func() {
+			c.landed(flightKey{id, n}, w, sent, Reply{Result: decide.ConnectFailed})
+		})
+		return
+	}
+	end := k.req.Deadline
+	if until > 0 && moment(until).Before(end) {
+		end = moment(until)
+	}
+	c.send(k, m, end)
+}
+
+func (h *host) Cancel(id string, attempt int) {
+	if off := h.flights[flightKey{id, attempt}]; off != nil {
+		off(errCalledOff)
+	}
+}
+
+func (h *host) Refuse(id string, wait int64) {
+	if k := h.open[id]; k != nil {
+		(*Core)(h).book(k, Answer{Outcome: Refused, Wait: time.Duration(max(wait, 0))}, false)
+	}
+}
+
+func (h *host) Fail(id string) {
+	if k := h.open[id]; k != nil {
+		a := Answer{Outcome: Failed}
+		if slack := time.Duration(4 * h.cfg.Settings.Quantum); time.Until(k.req.Deadline) <= slack {
+			a.Outcome = TimedOut
+		}
+		(*Core)(h).book(k, a, false)
+	}
+}
+
+func (h *host) Load(w decide.WorkerID, f decide.FuncID, n int) {
+	c := (*Core)(h)
+	m, known := c.members[w]
+	name, asked := c.called[f]
+	if !known || !asked || n > 0 && (m.State != decide.On || !c.ration.allow(time.Now())) {
+		c.n.OrdersHeld++
+		c.later = append(c.later, func() { c.d.Loaded(c.now(), w, f, 0, decide.Full) })
+		return
+	}
+	c.n.Orders++
+	limit := time.Duration(c.cfg.Settings.OrderTimeout)
+	if limit <= 0 {
+		limit = 10 * time.Second
+	}
+	go func() {
+		ctx, done := context.WithTimeout(c.ctx, limit)
+		defer done()
+		r := c.cfg.Workers.Load(ctx, Order{Worker: m, Func: f, Key: name.key, Count: n})
+		c.post(func() { c.d.Loaded(c.now(), w, f, r.Copies, r.Result) })
+	}()
+}
+
+func (h *host) Drop(w decide.WorkerID, f decide.FuncID) {
+	c := (*Core)(h)
+	m, known := c.members[w]
+	if name, asked := c.called[f]; known && asked {
+		go func() {
+			ctx, done := context.WithTimeout(c.ctx, probeTime*2)
+			defer done()
+			c.cfg.Workers.Drop(ctx, Order{Worker: m, Func: f, Key: name.key})
+		}()
+	}
+}
+
+func (h *host) Probe(w decide.WorkerID) {
+	c := (*Core)(h)
+	m, known := c.members[w]
+	if !known {
+		c.later = append(c.later, func() { c.d.Probed(c.now(), w, decide.ConnectFailed, 0, nil) })
+		return
+	}
+	sent := time.Now()
+	go func() {
+		ctx, done := context.WithTimeout(c.ctx, probeTime)
+		defer done()
+		r := c.cfg.Workers.Probe(ctx, m)
+		c.post(func() { c.d.Probed(c.now(), w, r.Result, int64(time.Since(sent)), r.Report) })
+	}()
+}
+
+func (h *host) Tell(to int, data string) {
+	if h.cfg.Peers != nil {
+		h.cfg.Peers.Tell(to, data)
+	}
+}
+
+func (h *host) Timer(delay, ref int64) {
+	c := (*Core)(h)
+	time.AfterFunc(time.Duration(delay), func() { c.post(func() { c.d.Timer(c.now(), ref) }) })
+}
+
+// Watch has nothing to do: a Membership tells from its start on.
+func (h *host) Watch() {}
+
+func (h *host) Log(text string) { h.cfg.Log.Info(text) }
+
+// The module's edge: its times are nanoseconds of the Unix clock, and zero is long ago.
+func nanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func moment(n int64) time.Time { return time.Unix(0, n) }
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"gingerpass/decide"
+	"oakthread/decide"
 )
 
 // printer is a host that prints what it is told to do; a real one sends requests and sets timers.
--- /dev/null
+++ b/internal/platform/channel.go
@@ -0,0 +1,188 @@
+package platform
+
+// This file owns what comes from beside the calls: the command channel, which tells of executors, and the
+// datagrams of other dispatchers. It must never tell an event twice or out of order, nor send a datagram of
+// more than 256 bytes.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"oakthread"
+	"oakthread/internal/wire"
+)
+
+const (
+	channelDial  = time.Second
+	channelQuiet = 2500 * time.Millisecond // a line comes every second; without one the connection is dead
+	channelRetry = 100 * time.Millisecond
+	maxLine      = 4 << 20
+	maxDatagram  = 256
+)
+
+// Channel follows the command channel. It implements oakthread.Membership.
+type Channel struct {
+	addr   string
+	setup  *wire.Setup
+	known  []Event
+	cursor int64
+	log    *slog.Logger
+}
+
+// NewChannel follows the channel of a configuration from the events on that it holds.
+func NewChannel(c *Config, log *slog.Logger) *Channel {
+	return &Channel{addr: c.Channel, setup: c.Setup, known: c.Known, cursor: c.Cursor, log: log}
+}
+
+// Watch tells the events known at the start, then those of the channel, and connects again until ctx ends.
+func (c *Channel) Watch(ctx context.Context, tell func(oakthread.Roster)) error {
+	for _, ev := range c.known {
+		tell(ev.Roster)
+	}
+	for c.addr != "" && ctx.Err() == nil {
+		err := c.follow(ctx, tell)
+		if ctx.Err() != nil {
+			break
+		}
+		c.log.Warn("command channel lost, connecting again", "after", c.cursor, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(channelRetry):
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (c *Channel) follow(ctx context.Context, tell func(oakthread.Roster)) error {
+	d := net.Dialer{Timeout: channelDial}
+	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(channelQuiet)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(conn, "resume %d\n", c.cursor); err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(conn)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for lines.Scan() {
+		if err := conn.SetDeadline(time.Now().Add(channelQuiet)); err != nil {
+			return err
+		}
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		if err := c.take(lines.Bytes(), tell); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// take reads one line. Events seen before are passed over; a number beyond ours without its event says that
+// some are missing, and they are asked for again on a new connection.
+func (c *Channel) take(line []byte, tell func(oakthread.Roster)) error {
+	ev, err := parseEvent(line, c.setup)
+	if err != nil {
+		return fmt.Errorf("line %.80q: %w", line, err)
+	}
+	if ev.Beat {
+		if ev.Cursor > c.cursor {
+			return fmt.Errorf("events after %d are missing, the last is %d", c.cursor, ev.Cursor)
+		}
+		return nil
+	}
+	if ev.Cursor <= c.cursor {
+		return nil
+	}
+	c.cursor = ev.Cursor
+	tell(ev.Roster)
+	return nil
+}
+
+// Datagrams carries messages between dispatchers. It implements oakthread.Peers.
+type Datagrams struct {
+	conn  *net.UDPConn
+	all   netip.AddrPort
+	peers []netip.AddrPort
+	from  map[netip.AddrPort]int
+	me    int
+	log   *slog.Logger
+}
+
+// ListenPeers opens the socket for messages; nil where the settings allow none.
+func ListenPeers(c *Config, log *slog.Logger) (*Datagrams, error) {
+	if !c.Setup.Permissions.Peers || c.PeerListen == "" {
+		return nil, nil
+	}
+	a, err := netip.ParseAddrPort(c.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	p := &Datagrams{conn: conn, all: c.PeersAll, peers: c.Peers, from: map[netip.AddrPort]int{},
+		me: c.Setup.Number, log: log}
+	for i, a := range c.Peers {
+		p.from[a] = i
+	}
+	return p, nil
+}
+
+// Tell sends one datagram, or none where the message is too long or the socket will not take it at once.
+func (p *Datagrams) Tell(to int, data string) {
+	if len(data) > maxDatagram {
+		p.log.Error("message to peers is too long, not sent", "bytes", len(data))
+		return
+	}
+	switch {
+	case to < 0 && p.all.IsValid():
+		_, _ = p.conn.WriteToUDPAddrPort([]byte(data), p.all)
+	case to < 0:
+		for i, a := range p.peers {
+			if i != p.me {
+				_, _ = p.conn.WriteToUDPAddrPort([]byte(data), a)
+			}
+		}
+	case to < len(p.peers) && to != p.me:
+		_, _ = p.conn.WriteToUDPAddrPort([]byte(data), p.peers[to])
+	}
+}
+
+// Listen hands on what peers say until ctx ends. A datagram from elsewhere is dropped.
+func (p *Datagrams) Listen(ctx context.Context, heard func(from int, data string)) error {
+	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return ctx.Err()
+		}
+		if err != nil {
+			p.log.Debug("peer socket", "err", err) // such as a peer that is down
+			continue
+		}
+		who, known := p.from[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if !known || n > maxDatagram || who == p.me {
+			continue
+		}
+		heard(who, string(buf[:n]))
+	}
+}
--- /dev/null
+++ b/internal/platform/fleet.go
@@ -0,0 +1,324 @@
+package platform
+
+// This file owns the connections to executors: one http.Transport for each of them, so that an address that
+// passes to a new executor never meets an old connection, and one count of sockets over all. It must never
+// write more than one request for an attempt, nor say of a request that it never ran without proof.
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oakthread"
+	"oakthread/decide"
+	"oakthread/internal/wire"
+)
+
+const (
+	maxAnswer   = 1 << 20 // bytes of an executor's answer
+	idlePerHost = 24
+	idleShare   = 0.6 // of the time after which an executor closes an idle connection, we do
+)
+
+var errNoSocket = errors.New("no socket left")
+
+// dialError marks a connection that never came up: nothing ran.
+type dialError struct{ error }
+
+func (e dialError) Unwrap() error { return e.error }
+
+// Fleet carries attempts, probes and orders to executors. It implements oakthread.Workers.
+type Fleet struct {
+	classes []string // escaped for a path
+	fields  []string
+	connect time.Duration
+	idle    time.Duration
+	sockets atomic.Int64 // that may yet be opened
+	mu      sync.Mutex
+	lines   map[decide.WorkerID]*line
+}
+
+// line is the connections to one executor.
+type line struct {
+	member oakthread.Member
+	*http.Transport
+}
+
+// NewFleet makes a Fleet that holds at most sockets connections.
+func NewFleet(s *wire.Setup, sockets int) *Fleet {
+	f := &Fleet{connect: s.ConnectTimeout(), lines: map[decide.WorkerID]*line{},
+		idle: time.Duration(idleShare * float64(s.ConnIdle()))}
+	for _, c := range s.Categories {
+		f.classes = append(f.classes, url.PathEscape(c.Name))
+	}
+	if s.Feedback.How != "off" {
+		f.fields = s.Feedback.Fields
+	}
+	f.sockets.Store(int64(sockets))
+	return f
+}
+
+func (f *Fleet) line(m oakthread.Member) *line {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.lines[m.ID]
+	if l == nil || l.member.Addr != m.Addr || !l.member.Start.Equal(m.Start) {
+		if l != nil {
+			l.CloseIdleConnections()
+		}
+		l = &line{member: m, Transport: &http.Transport{
+			Proxy: nil, DisableCompression: true, DialContext: f.dial, MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout: f.idle, MaxResponseHeaderBytes: 16 << 10, ForceAttemptHTTP2: false,
+			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10}}
+		f.lines[m.ID] = l
+	}
+	return l
+}
+
+// Forget drops the connections to an executor that has gone or starts anew.
+func (f *Fleet) Forget(id decide.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.lines[id]; l != nil {
+		delete(f.lines, id)
+		l.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.lines {
+		l.CloseIdleConnections()
+	}
+}
+
+// dial opens a counted connection, within the settings' time.
+func (f *Fleet) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if f.sockets.Add(-1) < 0 {
+		f.Close() // idle connections to others give way
+		if f.sockets.Load() < 0 {
+			f.sockets.Add(1)
+			return nil, errNoSocket
+		}
+	}
+	d := net.Dialer{Timeout: f.connect}
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		f.sockets.Add(1)
+		return nil, dialError{err}
+	}
+	return &conn{Conn: c, fleet: f}, nil
+}
+
+// conn counts the bytes written, so that a failure tells whether any of a request had left.
+type conn struct {
+	net.Conn
+	fleet   *Fleet
+	written atomic.Int64
+	once    sync.Once
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { c.fleet.sockets.Add(1) })
+	return c.Conn.Close()
+}
+
+// unrepeatable is a body that http.Transport can neither rewind nor take for absent, so that it never sends a
+// request a second time on its own: a repeat would be a second booking. A PUT or DELETE is not repeated anyway,
+// and with such an empty body would be sent in chunks.
+func unrepeatable(method string, b []byte) io.ReadCloser {
+	if len(b) == 0 && method != http.MethodGet {
+		return http.NoBody
+	}
+	return io.NopCloser(struct{ io.Reader }{bytes.NewReader(b)})
+}
+
+// trip writes one request and reads its whole answer. unsent: nothing of the request was written.
+func (f *Fleet) trip(ctx context.Context, m oakthread.Member, method, path string, h http.Header, body []byte) (resp *http.Response, got []byte, unsent bool, err error) {
+	for try := 0; ; try++ {
+		var c *conn
+		var before int64
+		reused := false
+		req := (&http.Request{Method: method, URL: &url.URL{Scheme: "http", Host: m.Addr, Opaque: path}, Host: m.Addr,
+			Header: h, Body: unrepeatable(method, body), ContentLength: int64(len(body))}).WithContext(
+			httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+				if c, _ = i.Conn.(*conn); c != nil {
+					before, reused = c.written.Load(), i.Reused
+				}
+			}}))
+		resp, err = f.line(m).RoundTrip(req)
+		if err == nil {
+			got, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+			resp.Body.Close()
+			return resp, got, false, err
+		}
+		unsent = c == nil || c.written.Load() == before
+		// The executor had closed an idle connection before anything was written on it: a new one will do.
+		if try == 0 && c != nil && reused && unsent && ctx.Err() == nil {
+			f.mu.Lock()
+			l := f.lines[m.ID]
+			f.mu.Unlock()
+			if l != nil {
+				l.CloseIdleConnections()
+			}
+			continue
+		}
+		return nil, nil, unsent, err
+	}
+}
+
+// failure reads an error: what proves that nothing ran, and what does not.
+func failure(ctx context.Context, unsent bool, err error) decide.Result {
+	var dial dialError
+	switch {
+	case errors.Is(err, errNoSocket):
+		return decide.Moot // our own want, no fault of the worker's
+	case errors.As(err, &dial):
+		return decide.ConnectFailed
+	case ctx.Err() != nil:
+		return decide.Timeout
+	case unsent:
+		return decide.ConnectFailed
+	}
+	return decide.Reset
+}
+
+// Send is one attempt: at most one request written.
+func (f *Fleet) Send(ctx context.Context, a oakthread.Attempt) oakthread.Reply {
+	budget := max(1, time.Until(a.Until).Milliseconds())
+	h := http.Header{"X-Hop-Id": {a.Request.ID}, "X-Thing": {a.Request.Key},
+		"X-Budget": {strconv.FormatInt(budget, 10)}, "User-Agent": {""}}
+	method := http.MethodPost
+	if len(a.Request.Body) == 0 {
+		method = http.MethodGet
+	}
+	resp, body, unsent, err := f.trip(ctx, a.Worker, method, "/c/"+f.classes[a.Request.Class], h, a.Request.Body)
+	if err != nil {
+		return oakthread.Reply{Result: failure(ctx, unsent, err)}
+	}
+	r := f.reply(resp, body)
+	if len(body) > maxAnswer {
+		r.Result, r.Body = decide.Error, nil
+	}
+	return r
+}
+
+var notes = map[string]decide.Warmth{"hit": decide.WarmHit, "spawn": decide.BeganLoad,
+	"pending": decide.AwaitedLoad, "spawn_failed": decide.LoadFailed}
+
+// reply reads an executor's answer. Only a 404, and a 503 or 504 that says so, prove that nothing ran.
+func (f *Fleet) reply(resp *http.Response, body []byte) oakthread.Reply {
+	h := resp.Header
+	r := oakthread.Reply{Result: decide.Error, Warmth: notes[h.Get("X-Tell")], Report: f.report(h.Get("X-Report"))}
+	if n, err := strconv.Atoi(h.Get("X-Same")); err == nil && n > 0 {
+		r.Crowd = min(n, 30)
+	}
+	if n, err := strconv.Atoi(h.Get("X-N")); err == nil && n > 0 {
+		r.Copies = n
+	}
+	noEffect := h.Get("X-No-Effect") == "1"
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		r.Result, r.Body = decide.OK, body
+	case resp.StatusCode == http.StatusNotFound:
+		r.Result = decide.Miss
+	case resp.StatusCode == http.StatusServiceUnavailable && noEffect:
+		r.Result = decide.Full
+	case resp.StatusCode == http.StatusGatewayTimeout && noEffect:
+		r.Result = decide.Moot
+	}
+	return r
+}
+
+// short are the names that load reports use on sockets for the settings' fields.
+var short = map[string]string{"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms",
+	"rps": "qps", "err_rps": "eps"}
+
+// report reads a load report such as inflight:7;util:0.61 in the order of the settings; one that lacks a field
+// or holds what is no number is no report.
+func (f *Fleet) report(text string) []float64 {
+	if text == "" || len(f.fields) == 0 {
+		return nil
+	}
+	vs, err := figures(text)
+	if err != nil {
+		return nil
+	}
+	out := make([]float64, 0, len(f.fields))
+	for _, n := range f.fields {
+		v, ok := vs[n]
+		if !ok {
+			v, ok = vs[short[n]]
+		}
+		if !ok {
+			return nil
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// figures reads name:number pairs parted by semicolons.
+func figures(text string) (map[string]float64, error) {
+	out := map[string]float64{}
+	for _, part := range strings.Split(text, ";") {
+		if part = strings.TrimSpace(part); part == "" {
+			continue
+		}
+		name, num, ok := strings.Cut(part, ":")
+		v, err := strconv.ParseFloat(strings.TrimSpace(num), 64)
+		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return nil, fmt.Errorf("%q is no figure", part)
+		}
+		out[strings.TrimSpace(name)] = v
+	}
+	return out, nil
+}
+
+// Probe asks an executor for its load.
+func (f *Fleet) Probe(ctx context.Context, m oakthread.Member) oakthread.Reply {
+	resp, _, unsent, err := f.trip(ctx, m, http.MethodGet, "/busy", http.Header{"User-Agent": {""}}, nil)
+	if err != nil {
+		return oakthread.Reply{Result: failure(ctx, unsent, err)}
+	}
+	r := f.reply(resp, nil)
+	if r.Result != decide.OK {
+		r.Result = decide.Error
+	}
+	return r
+}
+
+// Load orders copies of a function. 500 is a failed load, 503 no room.
+func (f *Fleet) Load(ctx context.Context, o oakthread.Order) oakthread.Reply {
+	path := "/c/" + url.PathEscape(o.Key) + "/" + strconv.Itoa(o.Count)
+	resp, _, unsent, err := f.trip(ctx, o.Worker, http.MethodPut, path, http.Header{"User-Agent": {""}}, nil)
+	if err != nil {
+		return oakthread.Reply{Result: failure(ctx, unsent, err)}
+	}
+	return f.reply(resp, nil)
+}
+
+// Drop unloads the idle copies of a function; nothing is learned of it.
+func (f *Fleet) Drop(ctx context.Context, o oakthread.Order) {
+	_, _, _, _ = f.trip(ctx, o.Worker, http.MethodDelete, "/c/"+url.PathEscape(o.Key), http.Header{"User-Agent": {""}}, nil)
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,202 @@
+package platform
+
+// This file owns the side of the clients: what a call looks like on HTTP, what an answer looks like, and the end
+// of the server. It must never hold an answer back, change a body, or decide what becomes of a call.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"oakthread"
+	"oakthread/decide"
+	"oakthread/internal/wire"
+)
+
+const (
+	maxBody     = 16 << 10
+	maxPatience = time.Hour
+	idleClients = 10 * time.Second // clients close after 4 s; the rest are dead
+	headerTime  = 5 * time.Second
+)
+
+// Front serves the platform's clients. It implements http.Handler.
+type Front struct {
+	core     *oakthread.Core
+	classes  map[string]int
+	tenants  map[string]int
+	tells    bool
+	open     atomic.Int64 // calls in the handler
+	bad      atomic.Int64 // calls that could not be read
+	draining atomic.Bool
+	mux      *http.ServeMux
+}
+
+// NewFront makes the front of a Core.
+func NewFront(core *oakthread.Core, s *wire.Setup) *Front {
+	f := &Front{core: core, classes: map[string]int{}, tenants: map[string]int{}, tells: s.Permissions.RetryAfter,
+		mux: http.NewServeMux()}
+	for i, c := range s.Categories {
+		f.classes[c.Name] = i
+	}
+	for i, c := range s.Customers {
+		f.tenants[c.Name] = i
+	}
+	f.mux.HandleFunc("POST /call/{key}/trigger", f.call)
+	f.mux.HandleFunc("GET /ping", f.ping)
+	return f
+}
+
+// Bad counts the calls that could not be read.
+func (f *Front) Bad() int64 { return f.bad.Load() }
+
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
+
+// ping tells the platform's front that calls may come: not before a list is loaded, nor once we are to end.
+func (f *Front) ping(w http.ResponseWriter, r *http.Request) {
+	if !f.core.Ready() || f.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// call is the chain of a call on this side: take in, then the Core's stages, then relay.
+func (f *Front) call(w http.ResponseWriter, r *http.Request) {
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	q, status, err := f.takeIn(w, r, time.Now())
+	if err != nil {
+		f.bad.Add(1)
+		http.Error(w, err.Error(), status)
+		return
+	}
+	a, err := f.core.Do(r.Context(), q)
+	f.relay(w, a, err)
+}
+
+// takeIn decodes a call into the Core's value, once.
+func (f *Front) takeIn(w http.ResponseWriter, r *http.Request, now time.Time) (q oakthread.Request, status int, err error) {
+	q, err = f.head(r.PathValue("key"), r.Header, now)
+	if err != nil {
+		return q, http.StatusBadRequest, err
+	}
+	q.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		return q, http.StatusRequestEntityTooLarge, fmt.Errorf("body is over %d bytes", maxBody)
+	}
+	return q, http.StatusBadRequest, err
+}
+
+func (f *Front) head(key string, h http.Header, now time.Time) (q oakthread.Request, err error) {
+	n, err := hex16(key)
+	if err != nil {
+		return q, fmt.Errorf("function %q: want 16 hex digits", key)
+	}
+	q.Key, q.Func, q.ID, q.Tenant = key, decide.FuncID(n), h.Get("X-Call-Id"), -1
+	if _, err = hex16(q.ID); err != nil {
+		return q, fmt.Errorf("X-Call-Id %q: want 16 hex digits", q.ID)
+	}
+	class, ok := f.classes[h.Get("X-Class")]
+	if !ok {
+		return q, fmt.Errorf("X-Class %q: not in the settings", h.Get("X-Class"))
+	}
+	q.Class = class
+	if name := h.Get("X-Customer"); name != "" {
+		if q.Tenant, ok = f.tenants[name]; !ok {
+			return q, fmt.Errorf("X-Customer %q: not in the settings", name)
+		}
+	}
+	ms, err := strconv.ParseFloat(h.Get("X-Patience-Ms"), 64)
+	if err != nil || !(ms > 0) || ms > float64(maxPatience/time.Millisecond) {
+		return q, fmt.Errorf("X-Patience-Ms %q: want milliseconds above 0", h.Get("X-Patience-Ms"))
+	}
+	q.Deadline = now.Add(time.Duration(ms * float64(time.Millisecond)))
+	extras, err := figures(h.Get("X-Extras"))
+	if err != nil {
+		return q, fmt.Errorf("X-Extras: %w", err)
+	}
+	q.MemoryMB, q.Lanes = extras["memory_mb"], int(min(extras["lanes"], 1e6))
+	q.LoadTime = time.Duration(min(extras["load_ms"], 3.6e6) * float64(time.Millisecond))
+	return q, nil
+}
+
+func hex16(s string) (uint64, error) {
+	if len(s) != 16 || strings.ContainsAny(s, "+-_") {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseUint(s, 16, 64)
+}
+
+// relay encodes the answer, once.
+func (f *Front) relay(w http.ResponseWriter, a oakthread.Answer, err error) {
+	status := http.StatusOK
+	switch {
+	case errors.Is(err, oakthread.ErrDuplicate):
+		status = http.StatusConflict
+	case errors.Is(err, oakthread.ErrInvalid):
+		status = http.StatusBadRequest
+	case err != nil:
+		status = http.StatusBadGateway
+	case a.Outcome == oakthread.Refused:
+		status = http.StatusServiceUnavailable
+		ComeBack(w.Header(), a.Wait)
+		if f.tells && a.Wait > 0 {
+			w.Header().Set("X-Come-Back-Ms", strconv.FormatInt(int64(math.Ceil(float64(a.Wait)/float64(time.Millisecond))), 10))
+		}
+	case a.Outcome == oakthread.Failed:
+		status = http.StatusBadGateway
+	case a.Outcome == oakthread.TimedOut:
+		status = http.StatusGatewayTimeout
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(a.Body) // a client that has left is owed nothing
+}
+
+// ComeBack writes Retry-After in whole seconds, rounded up, where a wait is advised.
+func ComeBack(h http.Header, wait time.Duration) {
+	if wait > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
+	}
+}
+
+// Serve runs an HTTP server on ln, which holds at most conns connections, until ctx ends. Then it goes on taking
+// calls for linger, since clients learn late, answers all it has taken, and returns nil.
+func (f *Front) Serve(ctx context.Context, ln net.Listener, conns int, linger, longest time.Duration, log *slog.Logger) error {
+	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, ReadTimeout: longest + headerTime, IdleTimeout: idleClients,
+		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(netutil.LimitListener(ln, conns)) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	f.draining.Store(true)
+	log.Info("ending: still taking calls", "for", linger)
+	select {
+	case err := <-failed:
+		return err
+	case <-time.After(linger):
+	}
+	log.Info("ending: no new calls", "open", f.open.Load())
+	end, done := context.WithTimeout(context.Background(), longest)
+	defer done()
+	err := srv.Shutdown(end)
+	if errors.Is(err, context.DeadlineExceeded) && f.open.Load() == 0 {
+		err = nil // connections on which no call was under way
+	}
+	return err
+}
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -1,8 +1,18 @@
 package wire
 
-// Setup is the settings object of a boot; unknown keys are left out.
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"oakthread/decide"
+)
+
+// Setup is the settings object of a deployment, the same on the simulator's wire and in a dispatcher's
+// configuration; unknown keys are left out. Spans are nanoseconds, as told.
 type Setup struct {
 	Categories []struct {
+		Name        string  `json:"name"`
 		Aim         int64   `json:"aim_ns"`
 		Credit      float64 `json:"credit"`
 		GiveUp      int64   `json:"give_up_ns"`
@@ -12,22 +22,27 @@
 		Window      int64   `json:"window_ns"`
 	} `json:"categories"`
 	Customers []struct {
+		Name      string  `json:"name"`
 		Allowance float64 `json:"allowance_per_s"`
 	} `json:"customers"`
 	Feedback struct {
 		Fields []string `json:"fields"`
 		How    string   `json:"how"`
 	} `json:"feedback"`
-	Number         int     `json:"my_number"`
-	OverShareWorth float64 `json:"over_share_worth"`
+	Kinds          []string `json:"kinds"`
+	Number         int      `json:"my_number"`
+	OverShareWorth float64  `json:"over_share_worth"`
 	Permissions    struct {
-		Cancel        bool  `json:"cancel"`
-		MaxRetryAfter int64 `json:"max_retry_after_ns"`
-		MayProbe      bool  `json:"may_probe"`
-		Peers         bool  `json:"peers"`
-		RetryAfter    bool  `json:"retry_after"`
-		SecondCopies  bool  `json:"second_copies"`
-		SendCap       int   `json:"send_cap"`
+		Cancel         bool  `json:"cancel"`
+		ConnIdle       int64 `json:"conn_idle_ns"`
+		ConnectTimeout int64 `json:"connect_timeout_ns"`
+		MaxRetryAfter  int64 `json:"max_retry_after_ns"`
+		MayProbe       bool  `json:"may_probe"`
+		OpenCap        int   `json:"open_cap"`
+		Peers          bool  `json:"peers"`
+		RetryAfter     bool  `json:"retry_after"`
+		SecondCopies   bool  `json:"second_copies"`
+		SendCap        int   `json:"send_cap"`
 	} `json:"permissions"`
 	Prices struct {
 		CrossZone float64 `json:"cross_zone"`
@@ -62,5 +77,57 @@
 		OrderLimit  int64     `json:"order_limit_ns"`
 		WarmNotes   bool      `json:"warm_notes"`
 	} `json:"specifics"`
-	Zone int `json:"zone"`
+	Zone  int      `json:"zone"`
+	Zones []string `json:"zones"`
+}
+
+// ReadSetup decodes a settings object.
+func ReadSetup(raw []byte) (*Setup, error) {
+	s := &Setup{}
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return s, nil
+}
+
+// ConnectTimeout and ConnIdle are how long a connection may take to come up, and how long it may lie idle.
+func (s *Setup) ConnectTimeout() time.Duration { return time.Duration(s.Permissions.ConnectTimeout) }
+func (s *Setup) ConnIdle() time.Duration       { return time.Duration(s.Permissions.ConnIdle) }
+
+// Decide puts the deployment's names for settings into the decision module's.
+func (s *Setup) Decide() decide.Settings {
+	effects := map[string]decide.Effect{"read_like": decide.Safe, "idempotency_key": decide.Keyed}
+	scopes := map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
+	p, q, r, f := s.Permissions, s.Prices, s.Rules, s.Specifics
+	d := decide.Settings{
+		OverShareWorth: s.OverShareWorth, Number: s.Number, Siblings: s.Siblings, Zone: s.Zone, Quantum: s.Quantum,
+		MaxAttempts: p.SendCap, SecondCopies: p.SecondCopies, MayProbe: p.MayProbe, MayCancel: p.Cancel,
+		Peers: p.Peers, Tells: p.RetryAfter, MaxRetryAfter: p.MaxRetryAfter,
+		ReportOnProbe: s.Feedback.How == "on_probe",
+		AskRoster:     s.RegistryMode == "on_request", AskWithin: r.AskWithin,
+		AnswerSlack: r.AnswerSlack, DrainGrace: r.DrainGrace, Cold: r.Cold, Fall: r.Fall,
+		OverloadFactor: r.OverloadFactor, StartCapacity: r.StartCapacity,
+		Orders: f.LoadControl, LoadsOnMiss: f.OnMiss != "miss", TellsWarm: f.WarmNotes, TellsCrowd: f.NotesPeers,
+		KeepAlive: f.LingerIdle, LoadWindow: f.LoadSpan, OrderTimeout: f.OrderLimit,
+		LoadFree: f.FreeLoads, LoadShare: f.LoadPart, MemoryPrice: f.IdleMemory, KindMemoryMB: f.KindMemory,
+		CrossZonePrice: q.CrossZone, WastePrice: q.Waste, ProbePrice: q.Probe, PeerPrice: q.Peer,
+		LateFailPrice: q.LateFail, OriginPrice: q.Origin,
+	}
+	for _, c := range s.Categories {
+		d.Classes = append(d.Classes, decide.Class{Aim: c.Aim, GiveUp: c.GiveUp, Window: c.Window, Worth: c.Credit,
+			LateWorth: c.LateWorth, Effect: effects[c.Idempotency], Scope: scopes[c.KeyScope]})
+	}
+	for _, c := range s.Customers {
+		d.TenantRate = append(d.TenantRate, c.Allowance)
+	}
+	for i, n := range s.Feedback.Fields {
+		switch {
+		case s.Feedback.How == "off":
+		case n == "active":
+			d.InflightField = i + 1
+		case n == "waiting":
+			d.QueueField = i + 1
+		}
+	}
+	return d
 }
--- /dev/null
+++ b/oakthread.go
@@ -0,0 +1,130 @@
+// Package oakthread dispatches calls of functions to workers that hold them loaded. It is the core of the
+// oakthread daemon and can be embedded in any Go program: Do takes a Request and returns its one final Answer.
+//
+// This file owns the vocabulary of the core: requests, attempts, orders, outcomes, and the interfaces behind
+// which workers, the list of workers and other dispatchers stand. It must never name a wire, a header or a
+// status code: the fronts and the carriers of attempts do that.
+package oakthread
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"oakthread/decide"
+)
+
+// Request is one call. ID, Key and Body are handed on as they are.
+type Request struct {
+	ID       string // new with every try
+	Class    int    // place in the settings' classes
+	Tenant   int    // place in the settings' tenants; -1: none
+	Func     decide.FuncID
+	Key      string // the function as the caller wrote it
+	Body     []byte
+	Deadline time.Time // the caller stops waiting then
+	MemoryMB float64   // of one loaded copy
+	Lanes    int       // calls that a copy runs at a time
+	LoadTime time.Duration
+	Repeat   bool // the caller says that it asked before
+}
+
+// Outcome is how a request ended.
+type Outcome int
+
+const (
+	Served   Outcome = iota // Answer.Body is what a worker gave for this request
+	Refused                 // it had no effect; asking again is harmless
+	Failed                  // it may have had its effect
+	TimedOut                // failed because its time ran out; it may have had its effect
+)
+
+func (o Outcome) String() string {
+	return [...]string{"served", "refused", "failed", "timed out"}[o]
+}
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Outcome Outcome
+	Body    []byte
+	Wait    time.Duration // of a refusal: when to come back; 0: no advice
+}
+
+// Settlement tells an observer of a request that is over. Abandoned: the caller left before the answer.
+type Settlement struct {
+	Request   Request
+	Answer    Answer
+	Abandoned bool
+	At        time.Time
+	Attempts  int
+}
+
+// Errors of Do: the request was not taken, or its caller left.
+var (
+	ErrClosed    = errors.New("oakthread: dispatcher is closed")
+	ErrDuplicate = errors.New("oakthread: a request of this id is in hand")
+	ErrInvalid   = errors.New("oakthread: request cannot be used")
+)
+
+// Member is a worker as the list of workers tells it. ID is the same at every dispatcher.
+type Member struct {
+	ID               decide.WorkerID
+	Addr             string // where it listens; may pass to another worker once this one has gone
+	Zone, Kind, Cell int
+	State            decide.State
+	Weight           float64
+	Start            time.Time // zero: long ago
+}
+
+// Roster is news of the list of workers.
+type Roster struct {
+	Kind    decide.RosterKind
+	Members []Member
+}
+
+// Attempt is one send of a request to one worker.
+type Attempt struct {
+	Request *Request
+	Worker  Member
+	N       int
+	Until   time.Time
+}
+
+// Reply is the end of an attempt, probe or order. What cannot be told stays zero.
+type Reply struct {
+	Result decide.Result
+	Warmth decide.Warmth
+	Crowd  int       // calls of the same function that the worker held
+	Report []float64 // load report, in the order of the settings
+	Copies int       // of an order: copies that stand loaded
+	Body   []byte
+}
+
+// Order asks a worker to hold Count copies of a function.
+type Order struct {
+	Worker Member
+	Func   decide.FuncID
+	Key    string // as a caller wrote it last
+	Count  int
+}
+
+// Workers carries attempts, probes and orders. Each method blocks until its end or that of ctx, is called from
+// many goroutines, and writes at most one request for each call.
+type Workers interface {
+	Send(ctx context.Context, a Attempt) Reply
+	Probe(ctx context.Context, m Member) Reply
+	Load(ctx context.Context, o Order) Reply
+	Drop(ctx context.Context, o Order)
+	Forget(id decide.WorkerID) // the worker has gone or starts anew: its connections are void
+}
+
+// Membership tells of the list of workers until ctx ends. It calls tell in order, from one goroutine.
+type Membership interface {
+	Watch(ctx context.Context, tell func(Roster)) error
+}
+
+// Peers carries short messages between dispatchers; they may be lost. Tell must not block; to below 0: all.
+type Peers interface {
+	Tell(to int, data string)
+	Listen(ctx context.Context, heard func(from int, data string)) error
+}
