--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +20,7 @@
 
 	"oakthread"
 	"oakthread/decide"
+	"oakthread/internal/reply"
 	"oakthread/internal/wire"
 )
 
@@ -140,36 +140,10 @@
 
 // relay encodes the answer, once.
 func (f *Front) relay(w http.ResponseWriter, a oakthread.Answer, err error) {
-	status := http.StatusOK
-	switch {
-	case errors.Is(err, oakthread.ErrDuplicate):
-		status = http.StatusConflict
-	case errors.Is(err, oakthread.ErrInvalid):
-		status = http.StatusBadRequest
-	case err != nil:
-		status = http.StatusBadGateway
-	case a.Outcome == oakthread.Refused:
-		status = http.StatusServiceUnavailable
-		ComeBack(w.Header(), a.Wait)
-		if f.tells && a.Wait > 0 {
-			w.Header().Set("X-Come-Back-Ms", strconv.FormatInt(int64(math.Ceil(float64(a.Wait)/float64(time.Millisecond))), 10))
-		}
-	case a.Outcome == oakthread.Failed:
-		status = http.StatusBadGateway
-	case a.Outcome == oakthread.TimedOut:
-		status = http.StatusGatewayTimeout
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(status)
-	_, _ = w.Write(a.Body) // a client that has left is owed nothing
-}
-
-// ComeBack writes Retry-After in whole seconds, rounded up, where a wait is advised.
-func ComeBack(h http.Header, wait time.Duration) {
-	if wait > 0 {
-		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
+	if f.tells && err == nil && a.Outcome == oakthread.Refused && a.Wait > 0 {
+		w.Header().Set("X-Come-Back-Ms", strconv.FormatInt(int64((a.Wait+time.Millisecond-1)/time.Millisecond), 10))
 	}
+	reply.Write(w, a, err)
 }
 
 // Serve runs an HTTP server on ln, which holds at most conns connections, until ctx ends. Then it goes on taking
--- a/oakthread.go
+++ b/oakthread.go
@@ -26,7 +26,8 @@
 	MemoryMB float64   // of one loaded copy
 	Lanes    int       // calls that a copy runs at a time
 	LoadTime time.Duration
-	Repeat   bool // the caller says that it asked before
+	Repeat   bool   // the caller says that it asked before
+	Ref      string // what the caller knows the request by; for observers alone
 }
 
 // Outcome is how a request ended.
