--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,7 +7,7 @@
 
 // Constants. Each is a share or a multiple of something told in the settings or observed.
 const (
-	epsilon     = 1.0   // a holder may carry this much more than the lightest (Table 4: 100% costs little)
+	epsilon     = 1.0   // a holder may carry this much more than the lightest, at the least (Table 4)
 	lostPrior   = 0.02  // share of answers taken as lost before anything is known, and at the least
 	expTail     = 0.74  // mean deviation of an exponential time, in means: how the tail of answers is read
 	slowFactor  = 2.0   // a worker that answers others gets this many overdue times before a second attempt
@@ -40,7 +40,7 @@
 	helloPeers  = 3     // dispatchers asked for their beliefs after a restart
 	beats       = 8     // housekeeping rounds in the shortest aim
 	missPrice   = 0.012 // over the prices of a load and of idle memory: share of loads that counts as many
-	waitLow     = 0.5   // of the shortest aim: from this expected time on the calls worth least are refused
+	waitLow     = 0.5   // of the aim: from this expected time on the calls worth least are refused
 	waitHigh    = 0.9   // and from this on all: half of the calls take longer than the mean
 	queueDevs   = 1.5   // calls out for longer than mean + this many deviations are not counted as queued
 	waitPrior   = 4     // calls of usual length that weigh against chance in the expected time
@@ -243,7 +243,7 @@
 // finish gives the one final answer: refused where the client may safely come again, else failed.
 func (d *Dispatcher) finish(now int64, r *request) {
 	if d.mayRefuse(now, r) {
-		d.host.Refuse(r.ID, 0)
+		d.host.Refuse(r.ID, d.set.MaxRetryAfter)
 	} else {
 		d.host.Fail(r.ID)
 	}
@@ -365,13 +365,16 @@
 	// Where loads are frequent, copies are too many: ε then starts from the middle load, for a worker below
 	// the middle has idle cores and being lighter than that buys less than a copy costs. Where nearly all is
 	// found loaded it starts from the lightest, as in the paper, and functions spread. A slow store makes
-	// loads dear: ε widens with it, so that full holders are waited for.
+	// loads dear: ε widens with it, so that busy holders are waited for.
 	dear := max(d.set.OriginPrice+d.set.MemoryPrice, missPrice) / missPrice
 	base := low + max(0, mid-low)*min(1, d.misses*dear)
+	// ε is what a load costs: elsewhere the call waits for one that takes as long as so many calls, and pushes
+	// another copy out, so up to that a busy holder is the shorter way.
+	eps := max(epsilon, d.loadTime(r.fn)/d.stats[r.Class].mean)
 	var free, full []*worker
 	for _, h := range r.fn.holders {
 		w := h.w
-		if w.turn != d.turn || w.now > base*(1+epsilon*d.stress) {
+		if w.turn != d.turn || w.now > base*(1+eps) {
 			continue
 		}
 		if h.until > now && h.inflight < h.copies*r.fn.lanes {
@@ -695,11 +698,13 @@
 // at once.
 
 // refuse tells whether a new call is turned away, before anything is done for it: first what is over its
-// tenant's share, then the classes worth least for their work.
+// tenant's share or needs a load, then the classes worth least for their work. Guards against loads that hold
+// the slots of loaded copies' calls while the store is slow or many functions are called once; those go by the
+// shortest aim, the rest by the mean aim, so that a queue that most calls can bear turns none of them away.
 func (d *Dispatcher) refuse(now int64, q Request) bool {
 	// Repeats that clients mark go with what is over a share: clients that repeat at once must not crowd out
 	// first tries; nor do they count as asked within it. May harm a call refused for no fault of its own.
-	over := q.Repeat || d.rng.Float64() < d.excess(now, q.Tenant)
+	over := q.Repeat || d.rng.Float64() < d.excess(now, q.Tenant) || d.cold(now, q.Func)
 	d.over -= learnMix * d.over
 	for i := range d.asked {
 		d.asked[i] -= learnMix * d.asked[i]
@@ -722,7 +727,36 @@
 		below, own = 0, d.over
 	}
 	rank := (below + d.rng.Float64()*own) / max(all, 1)
-	return now-d.born > 2*d.minAim && d.wait(now) > float64(d.minAim)*(waitLow+(waitHigh-waitLow)*rank)
+	aim := d.aim()
+	if over {
+		aim = float64(d.minAim)
+	}
+	return now-d.born > 2*d.minAim && d.wait(now) > aim*(waitLow+(waitHigh-waitLow)*rank)
+}
+
+// aim is the mean aim of the worth that is asked for.
+func (d *Dispatcher) aim() float64 {
+	sum, all := 0.0, 0.0
+	for i, w := range d.asked {
+		x := w * d.value(i)
+		sum, all = sum+x*float64(d.set.Classes[i].Aim), all+x
+	}
+	if all <= 0 {
+		return float64(d.minAim)
+	}
+	return sum / all
+}
+
+// cold tells whether a call needs a load, by our beliefs.
+func (d *Dispatcher) cold(now int64, id FuncID) bool {
+	if f := d.funcs[funcTag(id)]; f != nil {
+		for _, h := range f.holders {
+			if h.until > now || h.inflight > 0 {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // value is a class's worth for its work.
