Wire the webhook front; count open calls as pressure; tests and docs

Ruled out: CPU (a node used a third of a core; profile taken) and the wait alone. Cause: refuse() knew no limit of open calls. It now weighs open calls against that limit as it weighs the wait.

--- a/cmd/oakthread/main.go
+++ b/cmd/oakthread/main.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -17,6 +19,7 @@
 
 	"oakthread"
 	"oakthread/internal/platform"
+	"oakthread/webhook"
 )
 
 const (
@@ -31,13 +34,19 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, os.Getenv, log); err != nil {
+	if err := run(ctx, os.Getenv, os.Args[1:], log); err != nil {
 		fmt.Fprintln(os.Stderr, "oakthread:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, getenv func(string) string, log *slog.Logger) error {
+func run(ctx context.Context, getenv func(string) string, args []string, log *slog.Logger) error {
+	flags := flag.NewFlagSet("oakthread", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	operators := flags.String("webhooks", "", "operator's file of the webhook front; empty: no such front")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
 	cfg, err := platform.Load(getenv)
 	if err != nil {
 		return err
@@ -53,9 +62,16 @@
 	}
 	parts := oakthread.Config{Settings: cfg.Setup.Decide(), Seed: cfg.Seed, Workers: fleet, Log: log,
 		MaxOpen: cfg.Setup.Permissions.OpenCap}
+	parts.Settings.MaxOpen = cfg.Sockets / 3 // clients hold no more connections, and each has one call
 	if peers != nil {
 		parts.Peers = peers
 	}
+	var hooks *webhook.Front // set before the first call comes
+	parts.Settled = func(s oakthread.Settlement) {
+		if hooks != nil {
+			hooks.Settled(s)
+		}
+	}
 	core, err := oakthread.New(parts)
 	if err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
@@ -73,6 +89,12 @@
 	if peers != nil {
 		go func() { _ = peers.Listen(beside, core.Heard) }()
 	}
+	ended := make(chan error, 1)
+	if *operators == "" {
+		ended <- nil
+	} else if hooks, err = serveHooks(ctx, *operators, cfg, core, ended, log); err != nil {
+		return err
+	}
 	front := platform.NewFront(core, cfg.Setup)
 	go count(beside, core, front, log)
 
@@ -82,7 +104,50 @@
 		return err
 	}
 	log.Info("ended", "left_open", err != nil)
-	return nil
+	return <-ended
+}
+
+// serveHooks opens the webhook front and serves it until ctx ends; its end comes on ended.
+func serveHooks(ctx context.Context, path string, cfg *platform.Config, core *oakthread.Core, ended chan<- error, log *slog.Logger) (*webhook.Front, error) {
+	o, err := webhook.ReadOptions(path)
+	if err != nil {
+		return nil, err
+	}
+	var classes []webhook.Class
+	for i, c := range cfg.Setup.Decide().Classes {
+		classes = append(classes, webhook.Class{Name: cfg.Setup.Categories[i].Name, GiveUp: time.Duration(c.GiveUp), Effect: c.Effect})
+	}
+	var tenants []string
+	for _, c := range cfg.Setup.Customers {
+		tenants = append(tenants, c.Name)
+	}
+	hooks, err := webhook.Open(o, core, classes, tenants, nil, log)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("webhooks: %w", err)
+	}
+	hup, reload := make(chan os.Signal, 1), make(chan time.Time)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			select {
+			case reload <- time.Now():
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	go func() {
+		err := hooks.Serve(ctx, ln, reload)
+		if err != nil {
+			log.Error("webhooks: front ended", "err", err)
+		}
+		ended <- err
+	}()
+	return hooks, nil
 }
 
 // limits fits the run time to the machine.
--- /dev/null
+++ b/core_test.go
@@ -0,0 +1,205 @@
+package oakthread
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread/decide"
+)
+
+// stand is a fleet in memory: each attempt waits for a reply on replies, or for its end.
+type stand struct {
+	sent    chan Attempt
+	ended   chan error
+	replies chan Reply
+	orders  chan Order
+	forgot  chan decide.WorkerID
+}
+
+func newStand() *stand {
+	return &stand{make(chan Attempt, 64), make(chan error, 64), make(chan Reply, 64), make(chan Order, 64), make(chan decide.WorkerID, 64)}
+}
+
+func (s *stand) Send(ctx context.Context, a Attempt) Reply {
+	s.sent <- a
+	select {
+	case r := <-s.replies:
+		return r
+	case <-ctx.Done():
+		s.ended <- context.Cause(ctx)
+		return Reply{Result: decide.Reset}
+	}
+}
+func (s *stand) Probe(context.Context, Member) Reply { return Reply{} }
+func (s *stand) Load(_ context.Context, o Order) Reply {
+	s.orders <- o
+	return Reply{Copies: o.Count}
+}
+func (s *stand) Drop(_ context.Context, o Order) { s.orders <- o }
+func (s *stand) Forget(id decide.WorkerID)       { s.forgot <- id }
+func (s *stand) workers(states ...decide.State) Roster {
+	r := Roster{Kind: decide.RosterFull}
+	for i, st := range states {
+		r.Members = append(r.Members, Member{ID: decide.WorkerID(i + 1), State: st, Weight: 1})
+	}
+	return r
+}
+
+func testCore(t *testing.T, s *stand, change func(*Config)) *Core {
+	cfg := Config{Workers: s, Settings: decide.Settings{Quantum: int64(4 * time.Millisecond), MaxAttempts: 3,
+		MayCancel: true, KeepAlive: int64(8 * time.Second), LoadsOnMiss: true, Orders: true, MaxRetryAfter: int64(2 * time.Second),
+		Classes: []decide.Class{{Aim: int64(time.Second), GiveUp: int64(3 * time.Second), Worth: 1, Effect: decide.Unsafe}}}}
+	if change != nil {
+		change(&cfg)
+	}
+	c, err := New(cfg)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	c.Roster(s.workers(decide.On))
+	return c
+}
+
+func ask(id string) Request {
+	return Request{ID: id, Tenant: -1, Func: 7, Key: "0000000000000007", Body: []byte("in"), Deadline: time.Now().Add(time.Minute), Lanes: 1}
+}
+
+func TestOneFinalAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		replies []Reply
+		want    Outcome
+	}{
+		"served":                 {[]Reply{{Result: decide.OK, Body: []byte("out")}}, Served},
+		"error may have run":     {[]Reply{{Result: decide.Error}}, Failed},
+		"reset may have run":     {[]Reply{{Result: decide.Reset}}, Failed},
+		"never ran, then served": {[]Reply{{Result: decide.Moot}, {Result: decide.OK, Body: []byte("out")}}, Served},
+		"never ran at all":       {[]Reply{{Result: decide.Moot}, {Result: decide.Moot}, {Result: decide.Moot}}, Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, settled := newStand(), make(chan Settlement, 4)
+			core := testCore(t, s, func(c *Config) { c.Settled = func(x Settlement) { settled <- x } })
+			for _, r := range c.replies {
+				s.replies <- r
+			}
+			a, err := core.Do(t.Context(), ask("a"))
+			require.NoError(t, err)
+			assert.Equal(t, c.want, a.Outcome)
+			assert.Len(t, s.sent, len(c.replies))
+			if c.want == Served {
+				assert.Equal(t, "out", string(a.Body))
+			}
+			if c.want == Refused {
+				assert.Positive(t, a.Wait, "a refusal says when to come back")
+			}
+			assert.Equal(t, c.want, (<-settled).Answer.Outcome)
+			n := core.Counters()
+			assert.Equal(t, int64(1), n.Served+n.Refused+n.Failed, "answers: %+v", n)
+			assert.Empty(t, settled, "settled twice")
+		})
+	}
+}
+
+// Guards against work that goes on for nobody: the caller's end reaches the attempt.
+func TestCallerLeaves(t *testing.T) {
+	s := newStand()
+	settled := make(chan Settlement, 1)
+	core := testCore(t, s, func(c *Config) { c.Settled = func(x Settlement) { settled <- x } })
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { <-s.sent; leave() }()
+	_, err := core.Do(ctx, ask("a"))
+	require.ErrorIs(t, err, context.Canceled)
+	require.ErrorIs(t, <-s.ended, errCalledOff)
+	assert.True(t, (<-settled).Abandoned)
+}
+
+// Guards against an answer that never comes: the deadline ends the request and calls off the attempt.
+func TestDeadlineIsAnswered(t *testing.T) {
+	s := newStand()
+	core := testCore(t, s, nil)
+	q := ask("a")
+	q.Deadline = time.Now().Add(50 * time.Millisecond)
+	a, err := core.Do(t.Context(), q)
+	require.NoError(t, err)
+	assert.Equal(t, TimedOut, a.Outcome)
+	require.Error(t, <-s.ended)
+}
+
+// Guards against two holders of one id, a table without bound, and calls that cannot be used.
+func TestAdmission(t *testing.T) {
+	s := newStand()
+	core := testCore(t, s, func(c *Config) { c.MaxOpen = 1 })
+	done := make(chan error, 1)
+	go func() { _, err := core.Do(t.Context(), ask("a")); done <- err }()
+	<-s.sent
+	_, err := core.Do(t.Context(), ask("a"))
+	require.ErrorIs(t, err, ErrDuplicate)
+	a, err := core.Do(t.Context(), ask("b"))
+	require.NoError(t, err)
+	assert.Equal(t, Answer{Outcome: Refused, Wait: 2 * time.Second}, a)
+	_, err = core.Do(t.Context(), Request{ID: "c", Class: 9, Deadline: time.Now()})
+	require.ErrorIs(t, err, ErrInvalid)
+	core.Close()
+	require.ErrorIs(t, <-done, ErrClosed)
+	_, err = core.Do(t.Context(), ask("d"))
+	require.ErrorIs(t, err, ErrClosed)
+}
+
+// Guards the drain rule: after the news no send, retry or order goes to a worker that drains or is gone.
+func TestDrainReachesSendsRetriesAndOrders(t *testing.T) {
+	s := newStand()
+	core := testCore(t, s, nil)
+	core.Roster(s.workers(decide.On, decide.On))
+	got := make(chan Answer, 1)
+	go func() { a, _ := core.Do(t.Context(), ask("a")); got <- a }()
+	first := (<-s.sent).Worker.ID
+	states := []decide.State{decide.On, decide.On}
+	states[first-1] = decide.Draining
+	core.Roster(s.workers(states...))
+	s.replies <- Reply{Result: decide.Moot}
+	assert.NotEqual(t, first, (<-s.sent).Worker.ID, "a retry went to the draining worker")
+	s.replies <- Reply{Result: decide.OK}
+	assert.Equal(t, Served, (<-got).Outcome)
+	core.post(func() { (*host)(core).Load(first, 7, 1) })
+	assert.Equal(t, int64(1), core.Counters().OrdersHeld)
+	core.Roster(s.workers(decide.On))
+	assert.Equal(t, decide.WorkerID(2), <-s.forgot, "connections of a worker that has gone are kept")
+}
+
+// Guards the rule on loads at the time when the order leaves, and that none names a function nobody called.
+func TestOrdersAreRationed(t *testing.T) {
+	r := ration{window: 5 * time.Second, free: 2, share: 0.5}
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var got []bool
+	for _, x := range []struct {
+		ms    int
+		taken int
+	}{{0, 0}, {1, 0}, {2, 0}, {3, 2}, {4, 0}, {5100, 0}, {5400, 0}} {
+		for range x.taken {
+			r.took(at(x.ms))
+		}
+		got = append(got, r.allow(at(x.ms)))
+	}
+	assert.Equal(t, []bool{true, true, false, true, false, false, true}, got)
+
+	s := newStand()
+	core := testCore(t, s, nil)
+	core.post(func() { (*host)(core).Load(1, 99, 1); (*host)(core).Drop(1, 99) })
+	assert.Equal(t, int64(1), core.Counters().OrdersHeld)
+	assert.Empty(t, s.orders)
+}
+
+func TestNotReadyBeforeAList(t *testing.T) {
+	core, err := New(Config{Workers: newStand(), Settings: decide.Settings{Classes: []decide.Class{{Aim: 1}}}})
+	require.NoError(t, err)
+	defer core.Close()
+	assert.False(t, core.Ready())
+	core.Roster(Roster{Kind: decide.RosterDelta})
+	core.Counters()
+	assert.False(t, core.Ready())
+	core.Roster(Roster{Kind: decide.RosterFull})
+	core.Counters()
+	assert.True(t, core.Ready())
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,8 +40,8 @@
 	helloPeers  = 3     // dispatchers asked for their beliefs after a restart
 	beats       = 8     // housekeeping rounds in the shortest aim
 	missPrice   = 0.012 // over the prices of a load and of idle memory: share of loads that counts as many
-	waitLow     = 0.5   // of the aim: from this expected time on the calls worth least are refused
-	waitHigh    = 0.9   // and from this on all: half of the calls take longer than the mean
+	waitLow     = 0.5   // of the aim or the room for calls: from here on those worth least are refused
+	waitHigh    = 0.9   // and from here on all: half of the calls take longer than the mean
 	queueDevs   = 1.5   // calls out for longer than mean + this many deviations are not counted as queued
 	waitPrior   = 4     // calls of usual length that weigh against chance in the expected time
 	forever     = int64(math.MaxInt64)
@@ -368,8 +368,8 @@
 	// loads dear: ε widens with it, so that busy holders are waited for.
 	dear := max(d.set.OriginPrice+d.set.MemoryPrice, missPrice) / missPrice
 	base := low + max(0, mid-low)*min(1, d.misses*dear)
-	// ε is what a load costs: elsewhere the call waits for one that takes as long as so many calls, and pushes
-	// another copy out, so up to that a busy holder is the shorter way.
+	// ε is what a load costs: elsewhere the call waits for one that takes as long as so many calls and pushes
+	// another copy out. Up to that a busy holder is the shorter way.
 	eps := max(epsilon, d.loadTime(r.fn)/d.stats[r.Class].mean)
 	var free, full []*worker
 	for _, h := range r.fn.holders {
@@ -698,9 +698,9 @@
 // at once.
 
 // refuse tells whether a new call is turned away, before anything is done for it: first what is over its
-// tenant's share or needs a load, then the classes worth least for their work. Guards against loads that hold
-// the slots of loaded copies' calls while the store is slow or many functions are called once; those go by the
-// shortest aim, the rest by the mean aim, so that a queue that most calls can bear turns none of them away.
+// tenant's share or needs a load, then the classes worth least for their work. Guards against loads that
+// hold the slots of other calls while the store is slow or many functions are called once. Those go by the
+// shortest aim, the rest by the mean aim, so that a queue that most calls can bear turns none away.
 func (d *Dispatcher) refuse(now int64, q Request) bool {
 	// Repeats that clients mark go with what is over a share: clients that repeat at once must not crowd out
 	// first tries; nor do they count as asked within it. May harm a call refused for no fault of its own.
@@ -731,7 +731,12 @@
 	if over {
 		aim = float64(d.minAim)
 	}
-	return now-d.born > 2*d.minAim && d.wait(now) > aim*(waitLow+(waitHigh-waitLow)*rank)
+	// Room for open calls is like time: once it is full, calls are turned away whatever their worth.
+	press := d.wait(now) / aim
+	if d.set.MaxOpen > 0 {
+		press = max(press, float64(len(d.reqs))/float64(d.set.MaxOpen))
+	}
+	return now-d.born > 2*d.minAim && press > waitLow+(waitHigh-waitLow)*rank
 }
 
 // aim is the mean aim of the worth that is asked for.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1066,3 +1066,58 @@
 		t.Fatalf("%d calls at once to a cold worker", d.workers[99].coldLeft)
 	}
 }
+
+// Guards against loads that crowd out loaded copies: near the limit of open calls, what needs a load is turned
+// away first, and the rest only when hardly any room is left.
+func TestRoomGoesToLoadedFunctionsFirst(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.MaxOpen = 100
+	d, f := start(t, s, 4)
+	hear(d, 0)
+	now := 5000 * ms
+	d.function(now, Request{Func: 1, Lanes: 16})
+	for _, w := range d.list {
+		d.funcs[1].at(w, true).until = now + 8000*ms
+	}
+	d.served, d.servedAt = 1e6, now // answers flow, so there is no queue
+	cold, warm := 0, 0
+	for i := range 100 {
+		fn := FuncID(1)
+		if i%2 == 1 {
+			fn = FuncID(100 + i)
+		}
+		id := fmt.Sprint(i)
+		if d.Request(now, call(id, now, fn)); f.answers[id] == "refused" {
+			if fn == 1 {
+				warm++
+			} else {
+				cold++
+			}
+		}
+	}
+	if cold == 0 || warm > cold/2 || len(d.reqs) > 90 {
+		t.Fatalf("refused %d that need a load and %d loaded, %d are open", cold, warm, len(d.reqs))
+	}
+}
+
+// Guards against loads that cost more than the wait they spare: a busy holder is kept up to what a load takes.
+func TestDearLoadsKeepTheHolder(t *testing.T) {
+	used := func(load int64) int {
+		d, f := start(t, settings(Safe, ScopeAll), 4)
+		hear(d, 0)
+		on := map[WorkerID]bool{}
+		for i := range 10 {
+			q := call(fmt.Sprint(i), 0, 1)
+			q.LoadTime = load
+			d.Request(0, q)
+			on[f.last[q.ID]] = true
+			if i == 0 {
+				d.Outcome(10*ms, ok("0", f.last["0"]))
+			}
+		}
+		return len(on)
+	}
+	if cheap, dear := used(250*ms), used(5000*ms); cheap < 2 || dear != 1 {
+		t.Fatalf("a cheap load spreads over %d workers, a dear one over %d", cheap, dear)
+	}
+}
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,60 @@
+package oakthread_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"oakthread"
+	"oakthread/decide"
+	"oakthread/middleware"
+)
+
+// local runs calls in this process; a real one carries them to workers on other machines.
+type local struct{}
+
+func (local) Send(_ context.Context, a oakthread.Attempt) oakthread.Reply {
+	return oakthread.Reply{Result: decide.OK, Warmth: decide.WarmHit, Body: []byte(strings.ToUpper(string(a.Request.Body)))}
+}
+func (local) Probe(context.Context, oakthread.Member) oakthread.Reply { return oakthread.Reply{} }
+func (local) Load(context.Context, oakthread.Order) oakthread.Reply   { return oakthread.Reply{} }
+func (local) Drop(context.Context, oakthread.Order)                   {}
+func (local) Forget(decide.WorkerID)                                  {}
+
+// A program dispatches calls behind its own server: the middleware takes the calls, other requests pass on.
+func Example() {
+	core, err := oakthread.New(oakthread.Config{Workers: local{}, Settings: decide.Settings{
+		Classes:     []decide.Class{{Aim: int64(time.Second), GiveUp: int64(3 * time.Second), Worth: 1, Effect: decide.Safe}},
+		MaxAttempts: 3, LoadsOnMiss: true, KeepAlive: int64(10 * time.Second)}})
+	if err != nil {
+		panic(err)
+	}
+	defer core.Close()
+	core.Roster(oakthread.Roster{Kind: decide.RosterFull, Members: []oakthread.Member{{ID: 1, State: decide.On, Weight: 1}}})
+
+	calls := middleware.Dispatch(core, func(r *http.Request) (oakthread.Request, error) {
+		if r.URL.Path != "/upper" {
+			return oakthread.Request{}, middleware.ErrPass
+		}
+		body, err := io.ReadAll(r.Body)
+		return oakthread.Request{ID: "call-1", Tenant: -1, Func: 7, Body: body, Lanes: 1, Deadline: time.Now().Add(3 * time.Second)}, err
+	})
+	server := httptest.NewServer(calls(http.NotFoundHandler()))
+	defer server.Close()
+	for _, path := range []string{"/upper", "/other"} {
+		resp, err := http.Post(server.URL+path, "text/plain", strings.NewReader("derby"))
+		if err != nil {
+			panic(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		fmt.Println(resp.StatusCode, strings.TrimSpace(string(body)))
+	}
+	// Output:
+	// 200 DERBY
+	// 404 404 page not found
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -27,7 +27,9 @@
 const (
 	maxBody     = 16 << 10
 	maxPatience = time.Hour
-	idleClients = 10 * time.Second // clients close after 4 s; the rest are dead
+	wayBack     = 75 * time.Millisecond // kept back of a client's patience for the answer's way, at most
+	wayBackPart = 0.1                   // and at most this part of it
+	idleClients = 10 * time.Second      // clients close after 4 s; the rest are dead
 	headerTime  = 5 * time.Second
 )
 
@@ -121,7 +123,10 @@
 	if err != nil || !(ms > 0) || ms > float64(maxPatience/time.Millisecond) {
 		return q, fmt.Errorf("X-Patience-Ms %q: want milliseconds above 0", h.Get("X-Patience-Ms"))
 	}
-	q.Deadline = now.Add(time.Duration(ms * float64(time.Millisecond)))
+	// The clock ran from when the client wrote its last byte, and the answer must have come whole when it ends. On a
+	// crowded core either way may take tens of milliseconds.
+	patience := time.Duration(ms * float64(time.Millisecond))
+	q.Deadline = now.Add(patience - min(wayBack, time.Duration(wayBackPart*float64(patience))))
 	extras, err := figures(h.Get("X-Extras"))
 	if err != nil {
 		return q, fmt.Errorf("X-Extras: %w", err)
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,434 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread"
+	"oakthread/decide"
+	"oakthread/internal/wire"
+)
+
+const settingsText = `{"categories":[{"name":"path-check","aim_ns":400000000,"give_up_ns":5000000000,"credit":1,"idempotency":"read_like"},
+{"name":"path-book","aim_ns":750000000,"give_up_ns":4000000000,"credit":5,"idempotency":"non_idempotent"}],
+"customers":[{"name":"ironbridge-haul","allowance_per_s":25}],"feedback":{"fields":["waiting","cpu"],"how":"inline"},
+"kinds":["std-2core"],"zones":["north-room","south-room"],"my_number":0,"siblings":2,"quantum_ns":4000000,
+"permissions":{"send_cap":3,"cancel":true,"peers":true,"connect_timeout_ns":250000000,"conn_idle_ns":15000000000,"max_retry_after_ns":1500000000},
+"specifics":{"linger_idle_ns":8000000000,"on_miss":"load","load_control":true}}`
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func setup(t testing.TB) *wire.Setup {
+	s, err := wire.ReadSetup([]byte(settingsText))
+	require.NoError(t, err)
+	return s
+}
+
+func member(addr string) oakthread.Member {
+	return oakthread.Member{ID: 1, Addr: addr, State: decide.On, Weight: 1}
+}
+
+func attempt(m oakthread.Member, body string) oakthread.Attempt {
+	return oakthread.Attempt{Worker: m, Until: time.Now().Add(time.Second), Request: &oakthread.Request{
+		ID: "9b1f03aa5c7e2d41", Class: 1, Key: "7F3a9c21e0b4d655", Body: []byte(body)}}
+}
+
+func TestHeadOfACall(t *testing.T) {
+	f := NewFront(nil, setup(t))
+	for name, c := range map[string]struct {
+		change, to string
+		bad        bool
+	}{
+		"plain":            {},
+		"no tenant":        {"X-Customer", "", false},
+		"unknown tenant":   {"X-Customer", "acme", true},
+		"unknown class":    {"X-Class", "call", true},
+		"short id":         {"X-Call-Id", "12", true},
+		"signed id":        {"X-Call-Id", "+b1f03aa5c7e2d41", true},
+		"no patience":      {"X-Patience-Ms", "", true},
+		"patience is past": {"X-Patience-Ms", "-4", true},
+		"patience is NaN":  {"X-Patience-Ms", "NaN", true},
+		"odd extras":       {"X-Extras", "lanes:two", true},
+		"infinite extras":  {"X-Extras", "lanes:Inf", true},
+		"other extras":     {"X-Extras", "colour:3;", false},
+	} {
+		h := http.Header{"X-Class": {"path-book"}, "X-Call-Id": {"9b1f03aa5c7e2d41"}, "X-Patience-Ms": {"1500"},
+			"X-Customer": {"ironbridge-haul"}, "X-Extras": {"memory_mb:512;lanes:2;load_ms:640"}}
+		if c.change != "" {
+			h.Set(c.change, c.to)
+		}
+		q, err := f.head("7F3a9c21e0b4d655", h, time.Unix(100, 0))
+		assert.Equal(t, c.bad, err != nil, "%s: %v", name, err)
+		if name == "plain" {
+			assert.Equal(t, oakthread.Request{ID: "9b1f03aa5c7e2d41", Class: 1, Func: 0x7f3a9c21e0b4d655, Key: "7F3a9c21e0b4d655",
+				Deadline: time.Unix(101, 425e6), MemoryMB: 512, Lanes: 2, LoadTime: 640 * time.Millisecond}, q)
+		}
+	}
+	_, err := f.head("no-function", http.Header{}, time.Now())
+	assert.Error(t, err)
+}
+
+func TestConfigAndEvents(t *testing.T) {
+	whole := `{"name":"n3","listen":"127.0.0.1:1","seed":"8c1f30d27a5be964","peers":["127.0.0.1:2"],"channel":"127.0.0.1:3",
+		"known":{"cursor":3,"cmds":[{"cursor":2,"nodes":{"complete":true,"members":[{"id":"s-00c41f7a","host_port":"127.0.0.1:4",
+		"locality":"south-room","flavor":"std-2core","cell":2,"phase":"Ready","size":4,"up_since_ms":5}]}}]},"settings":` + settingsText + `}`
+	c, err := parseConfig([]byte(whole))
+	require.NoError(t, err)
+	assert.Equal(t, int64(3), c.Cursor)
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), c.Seed)
+	assert.Equal(t, oakthread.Roster{Kind: decide.RosterFull, Members: []oakthread.Member{{ID: 0xc41f7a, Addr: "127.0.0.1:4",
+		Zone: 1, Cell: 2, State: decide.On, Weight: 4, Start: time.UnixMilli(5)}}}, c.Known[0].Roster)
+	for old, bad := range map[string]string{`"8c1f`: `"xx`, `"127.0.0.1:2"`: `"nowhere"`, `"127.0.0.1:3"`: `"x"`,
+		`"Ready"`: `"Odd"`, `"127.0.0.1:4"`: `""`, `"settings"`: `"unset"`, `"s-00c41f7a"`: `""`, `{"cursor":2,`: `{`} {
+		_, err := parseConfig([]byte(strings.Replace(whole, old, bad, 1)))
+		assert.Error(t, err, bad)
+	}
+	for line, want := range map[string]Event{"41": {Cursor: 41, Beat: true},
+		`{"cursor":4,"new":{}}`: {Cursor: 4, Roster: oakthread.Roster{Kind: decide.RosterDelta}}} {
+		ev, err := parseEvent([]byte(line), c.Setup)
+		require.NoError(t, err, line)
+		assert.Equal(t, want, ev)
+	}
+}
+
+// Guards against a wrong proof that nothing ran: for a booking that would be a second one.
+func TestWhatAnAnswerProves(t *testing.T) {
+	f := NewFleet(setup(t), 10)
+	for _, c := range []struct {
+		status int
+		header string
+		want   decide.Result
+		warmth decide.Warmth
+	}{
+		{200, "X-Tell: hit", decide.OK, decide.WarmHit},
+		{200, "X-Tell: pending", decide.OK, decide.AwaitedLoad},
+		{404, "X-Tell: spawn_failed", decide.Miss, decide.LoadFailed},
+		{500, "X-Tell: spawn_failed", decide.Error, decide.LoadFailed},
+		{503, "X-No-Effect: 1", decide.Full, 0},
+		{503, "", decide.Error, 0},
+		{503, "X-No-Effect: 0", decide.Error, 0},
+		{504, "X-No-Effect: 1", decide.Moot, 0},
+		{504, "", decide.Error, 0},
+		{429, "X-No-Effect: 1", decide.Error, 0},
+		{302, "", decide.Error, 0},
+	} {
+		h := http.Header{}
+		if k, v, ok := strings.Cut(c.header, ": "); ok {
+			h.Set(k, v)
+		}
+		r := f.reply(&http.Response{StatusCode: c.status, Header: h}, nil)
+		assert.Equal(t, c.want, r.Result, "%d %s", c.status, c.header)
+		assert.Equal(t, c.warmth, r.Warmth, "%d %s", c.status, c.header)
+	}
+	for text, want := range map[string][]float64{"queue:7;util:0.61": {7, 0.61}, "cpu:0.5;waiting:1": {1, 0.5},
+		"queue:7": nil, "queue:x;util:1": nil, "queue:-1;util:1": nil, "": nil} {
+		assert.Equal(t, want, f.report(text), text)
+	}
+}
+
+// Guards against a change on the way: id, class, key and body reach the executor as they came.
+func TestCallGoesOnUnchanged(t *testing.T) {
+	body := string([]byte{0, 255, '\r', '\n', 0x80})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		h := r.Header
+		fmt.Fprintf(w, "%s %s %s %s %q %v", r.Method, r.RequestURI, h.Get("X-Hop-Id"), h.Get("X-Thing"), b, h["Accept-Encoding"])
+	}))
+	defer srv.Close()
+	f := NewFleet(setup(t), 10)
+	defer f.Close()
+	m := member(srv.Listener.Addr().String())
+	r := f.Send(t.Context(), attempt(m, body))
+	assert.Equal(t, fmt.Sprintf("POST /c/path-book 9b1f03aa5c7e2d41 7F3a9c21e0b4d655 %q []", body), string(r.Body))
+	r = f.Send(t.Context(), attempt(m, ""))
+	assert.Equal(t, `GET /c/path-book 9b1f03aa5c7e2d41 7F3a9c21e0b4d655 "" []`, string(r.Body), "no body is a GET")
+	o := oakthread.Order{Worker: m, Key: "7F3a9c21e0b4d655", Count: 2}
+	assert.Equal(t, decide.OK, f.Load(t.Context(), o).Result)
+}
+
+// Guards against http.Transport's own repeats: on a reused connection that dies once the request is written, it
+// would send a bodiless GET again, and a booking would run twice.
+func TestOneAttemptIsOneRequest(t *testing.T) {
+	for _, body := range []string{"", "book"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		var seen atomic.Int64
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					rd := bufio.NewReader(c)
+					for n := 0; ; n++ {
+						r, err := http.ReadRequest(rd)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, r.Body)
+						seen.Add(1)
+						if n == 1 {
+							return // it has the whole request, and dies
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}()
+			}
+		}()
+		f := NewFleet(setup(t), 10)
+		m := member(ln.Addr().String())
+		assert.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, body)).Result)
+		assert.Equal(t, decide.Reset, f.Send(t.Context(), attempt(m, body)).Result, "it may have run")
+		assert.Equal(t, int64(2), seen.Load(), "requests written for two attempts")
+		f.Close()
+	}
+}
+
+// Guards against blame for what never left: a refused connection and a want of sockets are proofs, each its own.
+func TestNothingSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	ln.Close()
+	f := NewFleet(setup(t), 1)
+	assert.Equal(t, decide.ConnectFailed, f.Send(t.Context(), attempt(member(addr), "x")).Result)
+	assert.Equal(t, int64(1), f.sockets.Load(), "a failed dial keeps its socket")
+	f.sockets.Store(0)
+	assert.Equal(t, decide.Moot, f.Send(t.Context(), attempt(member(addr), "x")).Result)
+	assert.Equal(t, decide.Timeout, failure(canceled(t), false, errors.New("cut")))
+}
+
+func canceled(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
+
+// Guards against the connections of an executor that has gone serving its successor at the same address.
+func TestAddressIsReused(t *testing.T) {
+	var conns atomic.Int64
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	f := NewFleet(setup(t), 10)
+	defer f.Close()
+	m := member(srv.Listener.Addr().String())
+	f.Send(t.Context(), attempt(m, "x"))
+	f.Send(t.Context(), attempt(m, "x"))
+	assert.Equal(t, int64(1), conns.Load())
+	m.Start = time.Unix(7, 0)
+	f.Send(t.Context(), attempt(m, "x"))
+	m.ID = 2
+	f.Send(t.Context(), attempt(m, "x"))
+	assert.Equal(t, int64(3), conns.Load())
+}
+
+// Guards against lost or doubled news over a broken channel: it resumes after the last event and skips known ones.
+func TestChannelResumes(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	event := func(n int) string {
+		return fmt.Sprintf(`{"cursor":%d,"nodes":{"complete":false,"members":[]}}`+"\n", n)
+	}
+	asked := make(chan string, 8)
+	go func() {
+		for _, say := range []string{event(3) + event(4) + "4\nnot json\n", event(4) + "6\n", event(5) + event(6) + "6\n"} {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			asked <- line
+			_, _ = io.WriteString(c, say)
+			defer c.Close()
+		}
+	}()
+	var mu sync.Mutex
+	told := 0
+	ctx, stop := context.WithCancel(t.Context())
+	c := NewChannel(&Config{Channel: ln.Addr().String(), Cursor: 3, Setup: setup(t), Known: []Event{{Cursor: 3}}}, quiet)
+	err = c.Watch(ctx, func(oakthread.Roster) {
+		mu.Lock()
+		defer mu.Unlock()
+		if told++; told == 4 { // the known one, and 4, 5 and 6 once each
+			stop()
+		}
+	})
+	require.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, []string{"resume 3\n", "resume 4\n", "resume 4\n"}, []string{<-asked, <-asked, <-asked})
+	assert.Equal(t, int64(6), c.cursor)
+}
+
+// Guards the rules on datagrams: 256 bytes at most, from known peers alone, known by their address.
+func TestDatagrams(t *testing.T) {
+	open := func(n int) *Datagrams {
+		s := setup(t)
+		s.Number = n
+		p, err := ListenPeers(&Config{PeerListen: "127.0.0.1:0", Setup: s}, quiet)
+		require.NoError(t, err)
+		return p
+	}
+	a, b, stranger := open(0), open(1), open(2)
+	addr := func(p *Datagrams) netip.AddrPort { return p.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+	for _, p := range []*Datagrams{a, b, stranger} {
+		p.peers = []netip.AddrPort{addr(a), addr(b)}
+	}
+	b.from = map[netip.AddrPort]int{addr(a): 0, addr(b): 1}
+	stranger.Tell(1, "who")
+	a.Tell(1, strings.Repeat("x", 257))
+	a.Tell(-1, "hello")
+	ctx, stop := context.WithCancel(t.Context())
+	var got []string
+	_ = b.Listen(ctx, func(from int, data string) { got = append(got, fmt.Sprint(from, data)); stop() })
+	assert.Equal(t, []string{"0hello"}, got)
+}
+
+// notify is a log that tells of each line.
+type notify chan string
+
+func (n notify) Write(b []byte) (int, error) {
+	n <- string(b)
+	return len(b), nil
+}
+
+// serve starts a front on a socket over one executor; end asks it to stop.
+func serve(t *testing.T, linger time.Duration, lines notify, executor http.HandlerFunc) (url string, end func(), done chan error, front *Front) {
+	ex := httptest.NewServer(executor)
+	t.Cleanup(ex.Close)
+	fleet := NewFleet(setup(t), 50)
+	core, err := oakthread.New(oakthread.Config{Settings: setup(t).Decide(), Workers: fleet})
+	require.NoError(t, err)
+	t.Cleanup(core.Close)
+	front = NewFront(core, setup(t))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, end := context.WithCancel(t.Context())
+	done = make(chan error, 1)
+	go func() {
+		done <- front.Serve(ctx, ln, 50, linger, 5*time.Second, slog.New(slog.NewTextHandler(lines, nil)))
+	}()
+	url = "http://" + ln.Addr().String()
+	resp, err := http.Get(url + "/ping")
+	require.NoError(t, err)
+	assert.Equal(t, 503, resp.StatusCode, "ready before a list was loaded")
+	core.Roster(oakthread.Roster{Kind: decide.RosterFull, Members: []oakthread.Member{member(ex.Listener.Addr().String())}})
+	core.Counters()
+	resp, err = http.Get(url + "/ping")
+	require.NoError(t, err)
+	assert.Equal(t, 200, resp.StatusCode)
+	return url, end, done, front
+}
+
+func post(t *testing.T, ctx context.Context, url, id string, body string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(ctx, "POST", url+"/call/7f3a9c21e0b4d655/trigger", strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header = http.Header{"X-Class": {"path-book"}, "X-Call-Id": {id}, "X-Patience-Ms": {"3000"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// Guards the whole path: the answer is the executor's; what is malformed is a 4xx, counted, and harms nothing; a
+// refusal comes at once and says when to come back, in milliseconds only where the settings allow.
+func TestFrontAnswers(t *testing.T) {
+	url, end, done, front := serve(t, time.Millisecond, make(notify, 8), func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Hop-Id") == "00000000000000ff" {
+			w.Header().Set("X-No-Effect", "1")
+			w.WriteHeader(504)
+		}
+		_, _ = io.Copy(w, r.Body)
+	})
+	resp, body, err := post(t, t.Context(), url, "0000000000000001", "a\x00b")
+	require.NoError(t, err)
+	assert.Equal(t, "200 a\x00b", fmt.Sprint(resp.StatusCode, " ", body))
+	resp, _, err = post(t, t.Context(), url, "00000000000000ff", "x")
+	require.NoError(t, err)
+	assert.Equal(t, 503, resp.StatusCode)
+	assert.Equal(t, "2", resp.Header.Get("Retry-After"), "1.5 s, rounded up")
+	assert.Empty(t, resp.Header.Get("X-Come-Back-Ms"))
+	resp, _, err = post(t, t.Context(), url, "odd", "x")
+	require.NoError(t, err)
+	assert.Equal(t, 400, resp.StatusCode)
+	resp, _, err = post(t, t.Context(), url, "0000000000000002", strings.Repeat("x", maxBody+1))
+	require.NoError(t, err)
+	assert.Equal(t, 413, resp.StatusCode)
+	assert.Equal(t, int64(2), front.Bad())
+	end()
+	require.NoError(t, <-done)
+}
+
+// Guards what was taken over a planned end: calls that come while clients have not heard are served, each taken
+// call is answered, and only then does the server end.
+func TestEndAnswersAllTaken(t *testing.T) {
+	came, goOn := make(chan bool, 2), make(chan bool)
+	lines := make(notify, 8)
+	url, end, done, _ := serve(t, time.Second, lines, func(w http.ResponseWriter, r *http.Request) { came <- true; <-goOn })
+	got := make(chan int, 2)
+	call := func(id string) {
+		resp, _, err := post(t, t.Context(), url, id, "x")
+		if assert.NoError(t, err) {
+			got <- resp.StatusCode
+		}
+	}
+	go call("0000000000000001")
+	<-came
+	end()
+	assert.Contains(t, <-lines, "ending: still taking calls")
+	go call("0000000000000002")
+	<-came
+	select {
+	case err := <-done:
+		t.Fatal("ended with calls open", err)
+	default:
+	}
+	close(goOn)
+	assert.Equal(t, []int{200, 200}, []int{<-got, <-got})
+	require.NoError(t, <-done)
+}
+
+// Guards against work for clients that left: the executor sees its connection closed.
+func TestClientLeaves(t *testing.T) {
+	came, left := make(chan bool, 1), make(chan bool, 1)
+	url, end, done, _ := serve(t, time.Millisecond, make(notify, 8), func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		came <- true
+		<-r.Context().Done()
+		left <- true
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { <-came; leave() }()
+	_, _, err := post(t, ctx, url, "0000000000000001", "x")
+	require.ErrorIs(t, err, context.Canceled)
+	<-left
+	end()
+	require.NoError(t, <-done)
+}
--- a/webhook/receive.go
+++ b/webhook/receive.go
@@ -205,7 +205,7 @@
 
 // allowed: under mTLS an operator with a SPIFFE ID must come as that.
 func allowed(t *tls.ConnectionState, op Operator) bool {
-	if t == nil || op.id.IsZero() {
+	if op.id.IsZero() {
 		return true
 	}
 	id, err := spiffe.Peer(t)
--- a/webhook/send.go
+++ b/webhook/send.go
@@ -22,9 +22,10 @@
 
 const (
 	deliverTime = 15 * time.Second
-	deliverers  = 8     // deliveries at a time
-	perOperator = 3     // of them to one operator, so that a slow one does not hold up the others
-	handWait    = 65536 // settlements that may wait for the disk
+	deliverers  = 8               // deliveries at a time
+	perOperator = 3               // of them to one operator, so that a slow one does not hold up the others
+	handWait    = 65536           // settlements that may wait for the disk
+	lastWait    = 2 * time.Second // for deliveries under way at the end
 )
 
 // settled is the data of a notice.
@@ -58,7 +59,7 @@
 type Sender struct {
 	ring    *Ring
 	store   *Store
-	client  *http.Client
+	clients map[string]*http.Client // by operator
 	classes []Class
 	tell    map[string]bool // classes whose settlements are told
 	byPlace map[int]string  // operator by tenant
@@ -70,12 +71,19 @@
 	lost    int
 }
 
-// NewSender makes a Sender. transport may be nil; it is what leads to the operators' systems.
-func NewSender(o *Options, ring *Ring, store *Store, classes []Class, tenants []string, transport http.RoundTripper, log *slog.Logger) (*Sender, error) {
+// NewSender makes a Sender. transport, if given, makes what leads to an operator's system.
+func NewSender(o *Options, ring *Ring, store *Store, classes []Class, tenants []string, transport func(Operator) http.RoundTripper, log *slog.Logger) (*Sender, error) {
 	s := &Sender{ring: ring, store: store, classes: classes, tell: map[string]bool{}, byPlace: map[int]string{}, o: o,
 		log: log, bell: make(chan struct{}, 1)}
-	s.client = &http.Client{Transport: transport, Timeout: deliverTime,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	s.clients = map[string]*http.Client{}
+	for _, op := range ring.operators() {
+		c := &http.Client{Timeout: deliverTime,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+		if transport != nil {
+			c.Transport = transport(op)
+		}
+		s.clients[op.Name] = c
+	}
 	for _, n := range o.Notify {
 		s.tell[n] = true
 		if o.State == "" {
@@ -163,8 +171,11 @@
 	return err
 }
 
-// Run delivers notices until ctx ends; then it writes what is left in hand.
+// Run delivers notices until ctx ends; then it lets those under way end and writes what is left in hand.
 func (s *Sender) Run(ctx context.Context) {
+	out, cut := context.WithCancel(context.WithoutCancel(ctx))
+	defer cut()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(lastWait, cut) })()
 	type end struct{ id, op string }
 	busy, byOp, ends := map[string]bool{}, map[string]int{}, make(chan end)
 	timer := time.NewTimer(0)
@@ -189,7 +200,7 @@
 		}
 		for _, n := range ns {
 			go func() {
-				s.deliver(ctx, n)
+				s.deliver(out, n)
 				ends <- end{n.ID, n.Operator}
 			}()
 		}
@@ -216,7 +227,7 @@
 	status, wait, err := s.post(ctx, n)
 	n.Tries++
 	switch {
-	case ctx.Err() != nil:
+	case err != nil && ctx.Err() != nil:
 		return // it stays queued as it is
 	case err == nil && status/100 == 2:
 		err = s.store.delivered(n.ID)
@@ -254,7 +265,7 @@
 	}
 	req.Header = h
 	h.Set("Content-Type", "application/json")
-	resp, err := s.client.Do(req)
+	resp, err := s.clients[op.Name].Do(req)
 	if err != nil {
 		return 0, 0, err
 	}
