Send datagrams off the core's loop; log when the program stands still

Not found: which of machine, process or loop stood still. The daemon now logs that, and the one write that the loop made itself, a datagram's, has moved to a goroutine.

--- a/cmd/oakthread/main.go
+++ b/cmd/oakthread/main.go
@@ -28,6 +28,8 @@
 	memoryPart = 0.7                    // of the limit, where the collector starts to work harder
 	collectAt  = 400                    // per cent: a small heap on one core is collected seldom
 	countEvery = 10 * time.Second
+	lookEvery  = time.Second
+	still      = 300 * time.Millisecond // a delay that calls feel
 )
 
 func main() {
@@ -167,19 +169,25 @@
 	return most
 }
 
-// count logs the counters while calls come.
+// count logs the counters while calls come, and whether the process or the core's loop stood still.
 func count(ctx context.Context, core *oakthread.Core, front *platform.Front, log *slog.Logger) {
-	t := time.NewTicker(countEvery)
+	t := time.NewTicker(lookEvery)
 	defer t.Stop()
-	var last oakthread.Counters
+	var told oakthread.Counters
+	seen, next := time.Now(), time.Now().Add(countEvery)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if n := core.Counters(); n != last {
-			last = n
+		woke := time.Now()
+		n := core.Counters()
+		if process, loop := woke.Sub(seen)-lookEvery, time.Since(woke); process > still || loop > still {
+			log.Warn("stood still", "process", process, "loop", loop)
+		}
+		if seen = time.Now(); n != told && !seen.Before(next) {
+			told, next = n, seen.Add(countEvery)
 			log.Info("counts", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed,
 				"timed_out", n.TimedOut, "abandoned", n.Abandoned, "turned_away", n.TurnedAway,
 				"attempts", n.Attempts, "orders", n.Orders, "orders_held", n.OrdersHeld, "bad", front.Bad())
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -25,6 +25,7 @@
 	channelRetry = 100 * time.Millisecond
 	maxLine      = 4 << 20
 	maxDatagram  = 256
+	datagramWait = 256 // datagrams that may wait to be sent
 )
 
 // Channel follows the command channel. It implements oakthread.Membership.
@@ -122,9 +123,15 @@
 	peers []netip.AddrPort
 	from  map[netip.AddrPort]int
 	me    int
+	out   chan datagram
 	log   *slog.Logger
 }
 
+type datagram struct {
+	to   netip.AddrPort
+	data string
+}
+
 // ListenPeers opens the socket for messages; nil where the settings allow none.
 func ListenPeers(c *Config, log *slog.Logger) (*Datagrams, error) {
 	if !c.Setup.Permissions.Peers || c.PeerListen == "" {
@@ -139,14 +146,14 @@
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	p := &Datagrams{conn: conn, all: c.PeersAll, peers: c.Peers, from: map[netip.AddrPort]int{},
-		me: c.Setup.Number, log: log}
+		me: c.Setup.Number, out: make(chan datagram, datagramWait), log: log}
 	for i, a := range c.Peers {
 		p.from[a] = i
 	}
 	return p, nil
 }
 
-// Tell sends one datagram, or none where the message is too long or the socket will not take it at once.
+// Tell hands a datagram to the socket's goroutine; with too many waiting, it is lost, as any may be.
 func (p *Datagrams) Tell(to int, data string) {
 	if len(data) > maxDatagram {
 		p.log.Error("message to peers is too long, not sent", "bytes", len(data))
@@ -154,20 +161,41 @@
 	}
 	switch {
 	case to < 0 && p.all.IsValid():
-		_, _ = p.conn.WriteToUDPAddrPort([]byte(data), p.all)
+		p.send(p.all, data)
 	case to < 0:
 		for i, a := range p.peers {
 			if i != p.me {
-				_, _ = p.conn.WriteToUDPAddrPort([]byte(data), a)
+				p.send(a, data)
 			}
 		}
 	case to < len(p.peers) && to != p.me:
-		_, _ = p.conn.WriteToUDPAddrPort([]byte(data), p.peers[to])
+		p.send(p.peers[to], data)
+	}
+}
+
+func (p *Datagrams) send(to netip.AddrPort, data string) {
+	select {
+	case p.out <- datagram{to, data}:
+	default:
+	}
+}
+
+func (p *Datagrams) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-p.out:
+			if _, err := p.conn.WriteToUDPAddrPort([]byte(d.data), d.to); err != nil {
+				p.log.Debug("peer socket", "err", err)
+			}
+		}
 	}
 }
 
-// Listen hands on what peers say until ctx ends. A datagram from elsewhere is dropped.
+// Listen sends what is told and hands on what peers say until ctx ends. A datagram from elsewhere is dropped.
 func (p *Datagrams) Listen(ctx context.Context, heard func(from int, data string)) error {
+	go p.write(ctx)
 	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
 	buf := make([]byte, maxDatagram+1)
 	for {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -63,7 +63,12 @@
 // Bad counts the calls that could not be read.
 func (f *Front) Bad() int64 { return f.bad.Load() }
 
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, known := f.mux.Handler(r); known == "" {
+		f.bad.Add(1)
+	}
+	f.mux.ServeHTTP(w, r)
+}
 
 // ping tells the platform's front that calls may come: not before a list is loaded, nor once we are to end.
 func (f *Front) ping(w http.ResponseWriter, r *http.Request) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -303,6 +303,9 @@
 	a.Tell(1, strings.Repeat("x", 257))
 	a.Tell(-1, "hello")
 	ctx, stop := context.WithCancel(t.Context())
+	for _, p := range []*Datagrams{a, stranger} {
+		go func() { _ = p.Listen(ctx, func(int, string) {}) }()
+	}
 	var got []string
 	_ = b.Listen(ctx, func(from int, data string) { got = append(got, fmt.Sprint(from, data)); stop() })
 	assert.Equal(t, []string{"0hello"}, got)
@@ -381,7 +384,10 @@
 	resp, _, err = post(t, t.Context(), url, "0000000000000002", strings.Repeat("x", maxBody+1))
 	require.NoError(t, err)
 	assert.Equal(t, 413, resp.StatusCode)
-	assert.Equal(t, int64(2), front.Bad())
+	resp, err = http.Get(url + "/call/x/trigger")
+	require.NoError(t, err)
+	assert.Equal(t, 405, resp.StatusCode)
+	assert.Equal(t, int64(3), front.Bad())
 	end()
 	require.NoError(t, <-done)
 }
