Keep more idle connections and more time for the answer's way

Ruled out: CPU steal (0) and the loop (its delay was 3 ms when a process had stood still for 3.9 s).

--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -28,8 +28,8 @@
 
 const (
 	maxAnswer   = 1 << 20 // bytes of an executor's answer
-	idlePerHost = 24
-	idleShare   = 0.6 // of the time after which an executor closes an idle connection, we do
+	idlePerHost = 64      // a burst's connections are kept: a handshake costs both sides more than a socket
+	idleShare   = 0.6     // of the time after which an executor closes an idle connection, we do
 )
 
 var errNoSocket = errors.New("no socket left")
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -27,9 +27,9 @@
 const (
 	maxBody     = 16 << 10
 	maxPatience = time.Hour
-	wayBack     = 75 * time.Millisecond // kept back of a client's patience for the answer's way, at most
-	wayBackPart = 0.1                   // and at most this part of it
-	idleClients = 10 * time.Second      // clients close after 4 s; the rest are dead
+	wayBack     = 200 * time.Millisecond // kept back of a client's patience for the answer's way, at most
+	wayBackPart = 0.2                    // and at most this part of it
+	idleClients = 10 * time.Second       // clients close after 4 s; the rest are dead
 	headerTime  = 5 * time.Second
 )
 
