Leave three tenths of the room for open calls to loaded functions, not half

Ruled out: the wait (no 'full', p50 32 ms). The room is a hard limit and no delay, so it has bounds of its own.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,10 +40,12 @@
 	helloPeers  = 3     // dispatchers asked for their beliefs after a restart
 	beats       = 8     // housekeeping rounds in the shortest aim
 	missPrice   = 0.012 // over the prices of a load and of idle memory: share of loads that counts as many
-	waitLow     = 0.5   // of the aim or the room for calls: from here on those worth least are refused
-	waitHigh    = 0.9   // and from here on all: half of the calls take longer than the mean
-	queueDevs   = 1.5   // calls out for longer than mean + this many deviations are not counted as queued
-	waitPrior   = 4     // calls of usual length that weigh against chance in the expected time
+	waitLow     = 0.5   // of the aim: from this expected time on the calls worth least are refused
+	waitHigh    = 0.9   // and from this on all: half of the calls take longer than the mean
+	roomLow     = 0.7   // of the room for open calls: the same two
+	roomHigh    = 0.95
+	queueDevs   = 1.5 // calls out for longer than mean + this many deviations are not counted as queued
+	waitPrior   = 4   // calls of usual length that weigh against chance in the expected time
 	forever     = int64(math.MaxInt64)
 )
 
@@ -732,11 +734,10 @@
 		aim = float64(d.minAim)
 	}
 	// Room for open calls is like time: once it is full, calls are turned away whatever their worth.
-	press := d.wait(now) / aim
-	if d.set.MaxOpen > 0 {
-		press = max(press, float64(len(d.reqs))/float64(d.set.MaxOpen))
-	}
-	return now-d.born > 2*d.minAim && press > waitLow+(waitHigh-waitLow)*rank
+	late := d.wait(now) > aim*(waitLow+(waitHigh-waitLow)*rank)
+	room := float64(d.set.MaxOpen) * (roomLow + (roomHigh-roomLow)*rank)
+	full := d.set.MaxOpen > 0 && float64(len(d.reqs)) > room
+	return now-d.born > 2*d.minAim && (late || full)
 }
 
 // aim is the mean aim of the worth that is asked for.
