--- a/cmd/oakthread/main.go
+++ b/cmd/oakthread/main.go
@@ -55,8 +55,11 @@
 	}
 	log = log.With("name", cfg.Name)
 	limits(cfg)
-	clients := cfg.Sockets/3 + reserved
-	fleet := platform.NewFleet(cfg.Setup, max(cfg.Sockets-clients-reserved, reserved))
+	clients, others := cfg.Sockets/3+reserved, reserved
+	if *operators != "" {
+		others += webhook.MaxConns + webhook.MaxOut
+	}
+	fleet := platform.NewFleet(cfg.Setup, max(cfg.Sockets-clients-others, reserved))
 	defer fleet.Close()
 	peers, err := platform.ListenPeers(cfg, log)
 	if err != nil {
@@ -87,7 +90,8 @@
 	// The list of executors and the peers stay with us until the last answer is given.
 	beside, done := context.WithCancel(context.Background())
 	defer done()
-	go func() { _ = platform.NewChannel(cfg, log).Watch(beside, core.Roster) }()
+	var members oakthread.Membership = platform.NewChannel(cfg, log)
+	go func() { _ = members.Watch(beside, core.Roster) }()
 	if peers != nil {
 		go func() { _ = peers.Listen(beside, core.Heard) }()
 	}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -39,6 +39,8 @@
 
 func (e dialError) Unwrap() error { return e.error }
 
+var _ oakthread.Workers = (*Fleet)(nil)
+
 // Fleet carries attempts, probes and orders to executors. It implements oakthread.Workers.
 type Fleet struct {
 	classes []string // escaped for a path
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -160,7 +160,7 @@
 // calls for linger, since clients learn late, answers all it has taken, and returns nil.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, conns int, linger, longest time.Duration, log *slog.Logger) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, ReadTimeout: longest + headerTime, IdleTimeout: idleClients,
-		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(netutil.LimitListener(ln, conns)) }()
 	select {
--- a/webhook/front.go
+++ b/webhook/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/spiffe/go-spiffe/v2/spiffeid"
+	"golang.org/x/net/netutil"
 
 	"oakthread"
 	"oakthread/spiffe"
@@ -27,6 +28,12 @@
 	headerTime  = 5 * time.Second
 )
 
+// MaxConns is how many connections of senders the front holds, and MaxOut of its own to operators' systems.
+const (
+	MaxConns = 256
+	MaxOut   = deliverers
+)
+
 // Front is the webhook front of a Core.
 type Front struct {
 	*Receiver
@@ -106,7 +113,8 @@
 // state file. reload asks for the keys to be read again at once.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, reload <-chan time.Time) error {
 	srv := &http.Server{Handler: f.Receiver, ReadHeaderTimeout: headerTime, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
+		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn)}
+	ln = netutil.LimitListener(ln, MaxConns)
 	beside, done := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	every, prune, minute := time.NewTicker(reloadEvery), time.NewTicker(pruneEvery), time.NewTicker(countEvery)
