--- a/webhook/receive.go
+++ b/webhook/receive.go
@@ -117,7 +117,7 @@
 			return nil, fmt.Errorf("webhooks: operator %s: tenant %q is not in the settings", op.Name, op.Tenant)
 		}
 	}
-	cut, err := store.recover(func(op, id string, r receipt) *notice {
+	cut, err := store.endRunning(func(op, id string, r receipt) *notice {
 		return notices.notice(op, settled{Call: r.Call, Message: id, Class: r.Class, Function: r.Key,
 			Outcome: failed, Reason: "cut off by a restart"}, time.Now())
 	})
--- a/webhook/store.go
+++ b/webhook/store.go
@@ -202,8 +202,8 @@
 	})
 }
 
-// recover ends what an earlier process left running. It may have had its effect, so it has failed for good.
-func (s *Store) recover(tell func(op, id string, r receipt) *notice) (cut int, err error) {
+// endRunning ends what an earlier process left running. It may have had its effect, so it has failed for good.
+func (s *Store) endRunning(tell func(op, id string, r receipt) *notice) (cut int, err error) {
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(receipts)
 		found := map[string]receipt{}
