Test signals and exit codes on the program; wait for the latest deadline taken

Seen: the end waited for the classes' longest patience, so a call that said more could be cut off. It now waits for the latest deadline that was taken.

--- a/cmd/oakthread/main_test.go
+++ b/cmd/oakthread/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/base64"
@@ -11,9 +12,11 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,6 +61,71 @@
 	return ln.Addr().String()
 }
 
+// The test binary is the program itself where this is set, so that signals and exit codes are the real ones.
+const asProgram = "OAKTHREAD_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, config string) (*exec.Cmd, *bufio.Scanner) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "ROUTER_CONFIG="+path)
+	out, err := cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	return cmd, bufio.NewScanner(out)
+}
+
+// Guards a planned restart: after SIGTERM a call in hand is answered, and only then does the program exit, with 0. What
+// cannot start exits with 1 and says why in one line.
+func TestSignalsAndExitCodes(t *testing.T) {
+	came, goOn := make(chan bool), make(chan bool)
+	ex := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { came <- true; <-goOn }))
+	defer ex.Close()
+	addr := freeAddr(t)
+	cmd, log := program(t, fmt.Sprintf(`{"listen":%q,"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"complete":true,"members":[
+		{"id":"s-1","host_port":%q,"phase":"Ready","size":1}]}}]},"settings":%s}`, addr, ex.Listener.Addr(), settings))
+	until := func(text string) {
+		for log.Scan() {
+			if strings.Contains(log.Text(), text) {
+				return
+			}
+		}
+		t.Fatal("the program ended before it said", text)
+	}
+	until("msg=serving")
+	got := make(chan int, 1)
+	go func() {
+		req, _ := http.NewRequest("POST", "http://"+addr+"/call/7f3a9c21e0b4d655/trigger", nil)
+		req.Header = http.Header{"X-Class": {"path-check"}, "X-Call-Id": {"9b1f03aa5c7e2d41"}, "X-Patience-Ms": {"60000"}}
+		if resp, err := http.DefaultClient.Do(req); assert.NoError(t, err) {
+			got <- resp.StatusCode
+		}
+	}()
+	<-came
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	until("ending: no new calls")
+	close(goOn)
+	assert.Equal(t, 200, <-got)
+	until("msg=ended")
+	require.NoError(t, cmd.Wait(), "exit code 0")
+
+	cmd, log = program(t, "{")
+	require.True(t, log.Scan())
+	assert.Contains(t, log.Text(), "oakthread: configuration: ")
+	assert.False(t, log.Scan(), "one line")
+	var exit *exec.ExitError
+	require.ErrorAs(t, cmd.Wait(), &exit)
+	assert.Equal(t, 1, exit.ExitCode())
+}
+
 type lines chan string
 
 func (l lines) Write(b []byte) (int, error) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -41,6 +41,7 @@
 	tells    bool
 	open     atomic.Int64 // calls in the handler
 	bad      atomic.Int64 // calls that could not be read
+	latest   atomic.Int64 // Unix milliseconds of the latest deadline taken
 	draining atomic.Bool
 	mux      *http.ServeMux
 }
@@ -87,6 +88,9 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	for end, old := q.Deadline.UnixMilli(), f.latest.Load(); end > old && !f.latest.CompareAndSwap(old, end); {
+		old = f.latest.Load()
+	}
 	a, err := f.core.Do(r.Context(), q)
 	f.relay(w, a, err)
 }
@@ -157,7 +161,8 @@
 }
 
 // Serve runs an HTTP server on ln, which holds at most conns connections, until ctx ends. Then it goes on taking
-// calls for linger, since clients learn late, answers all it has taken, and returns nil.
+// calls for linger, since clients learn late, answers all it has taken, and returns nil. longest is the least time
+// given to those.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, conns int, linger, longest time.Duration, log *slog.Logger) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, ReadTimeout: longest + headerTime, IdleTimeout: idleClients,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
@@ -176,7 +181,11 @@
 	case <-time.After(linger):
 	}
 	log.Info("ending: no new calls", "open", f.open.Load())
-	end, done := context.WithTimeout(context.Background(), longest)
+	last := time.Now().Add(longest)
+	if taken := time.UnixMilli(f.latest.Load()).Add(linger); taken.After(last) {
+		last = taken
+	}
+	end, done := context.WithDeadline(context.Background(), last)
 	defer done()
 	err := srv.Shutdown(end)
 	if errors.Is(err, context.DeadlineExceeded) && f.open.Load() == 0 {
