Reload on SIGHUP, refuse hidden requests, and eject nobody for a lone reset

Clients that ask once and stay held places for 10 s (idleClients) at a LimitListener that lets nobody else in. net/http drops Content-Length beside Transfer-Encoding (front.go had no way to see both). Ruled out: processor time (5.7 s of 60) and memory (14 of 48 MB).

A request with lengths that contradict each other is refused and its connection ended; bytes behind an executor's answer are never read as the next one, and such a connection carries no further request; answers without a told end, above 1 MB, or beyond 4 MB in all are no answers. Quiet connections give way to new ones. Nothing written is a proof whatever ended the wait. SIGHUP reads the file anew and moves the command channel, cursor kept. Skipped events are asked for again, cut lines are not read. A reset by a worker that answers others is one fault of two, not an ejection.

--- a/cmd/oakthread/main.go
+++ b/cmd/oakthread/main.go
@@ -23,26 +23,31 @@
 )
 
 const (
-	linger     = 700 * time.Millisecond // new calls keep coming for this long after SIGTERM
-	reserved   = 64                     // descriptors for all but calls and attempts
-	memoryPart = 0.7                    // of the limit, where the collector starts to work harder
-	collectAt  = 150                    // per cent: a small heap touches little fresh memory
-	countEvery = 10 * time.Second
-	lookEvery  = time.Second
-	still      = 300 * time.Millisecond // a delay that calls feel
+	linger      = 700 * time.Millisecond // new calls keep coming for this long after SIGTERM
+	reserved    = 20                     // descriptors for all but calls and attempts: standard streams, epoll, the channel
+	clientSpare = 16                     // this part of the descriptors is for connections of clients on their way in or out
+	memoryPart  = 0.7                    // of the limit, where the collector starts to work harder
+	collectAt   = 150                    // per cent: a small heap touches little fresh memory
+	countEvery  = 10 * time.Second
+	lookEvery   = time.Second
+	still       = 300 * time.Millisecond // a delay that calls feel
 )
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	// First of all: a SIGHUP that nobody waits for ends a program, also one that is still starting.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, os.Getenv, os.Args[1:], log); err != nil {
+	if err := run(ctx, hup, os.Getenv, os.Args[1:], log); err != nil {
 		fmt.Fprintln(os.Stderr, "oakthread:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, getenv func(string) string, args []string, log *slog.Logger) error {
+// run is the program. Each value on hup has it read its configuration anew.
+func run(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, args []string, log *slog.Logger) error {
 	flags := flag.NewFlagSet("oakthread", flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
 	operators := flags.String("webhooks", "", "operator's file of the webhook front; empty: no such front")
@@ -55,7 +60,8 @@
 	}
 	log = log.With("name", cfg.Name)
 	limits(cfg)
-	clients, others := cfg.Sockets/3+reserved, reserved
+	// Usual clients hold a third at the most. Executors get what is left: a want of sockets there turns calls away.
+	clients, others := cfg.Sockets/3+cfg.Sockets/clientSpare, reserved
 	if *operators != "" {
 		others += webhook.MaxConns + webhook.MaxOut
 	}
@@ -90,17 +96,18 @@
 	// The list of executors and the peers stay with us until the last answer is given.
 	beside, done := context.WithCancel(context.Background())
 	defer done()
-	var members oakthread.Membership = platform.NewChannel(cfg, log)
-	go func() { _ = members.Watch(beside, core.Roster) }()
+	channel := platform.NewChannel(cfg, log)
+	go func() { _ = oakthread.Membership(channel).Watch(beside, core.Roster) }()
 	if peers != nil {
 		go func() { _ = peers.Listen(beside, core.Heard) }()
 	}
-	ended := make(chan error, 1)
+	ended, keys := make(chan error, 1), make(chan time.Time, 1)
 	if *operators == "" {
 		ended <- nil
-	} else if hooks, err = serveHooks(ctx, *operators, cfg, core, ended, log); err != nil {
+	} else if hooks, err = serveHooks(ctx, *operators, cfg, core, keys, ended, log); err != nil {
 		return err
 	}
+	go reload(beside, hup, getenv, cfg.Channel, channel, keys, log)
 	front := platform.NewFront(core, cfg.Setup)
 	go count(beside, core, front, log)
 
@@ -114,7 +121,7 @@
 }
 
 // serveHooks opens the webhook front and serves it until ctx ends; its end comes on ended.
-func serveHooks(ctx context.Context, path string, cfg *platform.Config, core *oakthread.Core, ended chan<- error, log *slog.Logger) (*webhook.Front, error) {
+func serveHooks(ctx context.Context, path string, cfg *platform.Config, core *oakthread.Core, reload <-chan time.Time, ended chan<- error, log *slog.Logger) (*webhook.Front, error) {
 	o, err := webhook.ReadOptions(path)
 	if err != nil {
 		return nil, err
@@ -135,17 +142,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("webhooks: %w", err)
 	}
-	hup, reload := make(chan os.Signal, 1), make(chan time.Time)
-	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for range hup {
-			select {
-			case reload <- time.Now():
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
 	go func() {
 		err := hooks.Serve(ctx, ln, reload)
 		if err != nil {
@@ -156,6 +152,32 @@
 	return hooks, nil
 }
 
+// reload reads the configuration anew at each signal and moves the command channel where its address has changed; the
+// webhook front reads its keys. A file that cannot be used changes nothing. Guards against an end by SIGHUP.
+func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, at string, channel *platform.Channel, keys chan<- time.Time, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		select {
+		case keys <- time.Now():
+		default: // it has yet to read them after an earlier signal
+		}
+		cfg, err := platform.Load(getenv)
+		if err != nil {
+			log.Error("configuration not reloaded, the old one stays", "err", err)
+			continue
+		}
+		log.Info("configuration reloaded", "channel", cfg.Channel)
+		if cfg.Channel != at {
+			at = cfg.Channel
+			channel.Move(at)
+		}
+	}
+}
+
 // limits fits the run time to the machine.
 func limits(cfg *platform.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
--- a/cmd/oakthread/main_test.go
+++ b/cmd/oakthread/main_test.go
@@ -43,14 +43,14 @@
 		`{"settings":` + settings + `}`: "listen",
 		`{"listen":"127.0.0.1:0","settings":{"categories":[{}]}}`: "settings",
 	} {
-		err := run(t.Context(), environ(t, config), nil, slog.New(slog.DiscardHandler))
+		err := run(t.Context(), nil, environ(t, config), nil, slog.New(slog.DiscardHandler))
 		if assert.Error(t, err, config) {
 			assert.Contains(t, err.Error(), want)
 			assert.NotContains(t, err.Error(), "\n")
 		}
 	}
-	require.Error(t, run(t.Context(), func(string) string { return "" }, nil, slog.New(slog.DiscardHandler)))
-	require.Error(t, run(t.Context(), environ(t, `{"listen":"127.0.0.1:0","settings":`+settings+`}`), []string{"-odd"}, slog.New(slog.DiscardHandler)))
+	require.Error(t, run(t.Context(), nil, func(string) string { return "" }, nil, slog.New(slog.DiscardHandler)))
+	require.Error(t, run(t.Context(), nil, environ(t, `{"listen":"127.0.0.1:0","settings":`+settings+`}`), []string{"-odd"}, slog.New(slog.DiscardHandler)))
 }
 
 // freeAddr is an address on a loopback number that other tests' sockets are not given.
@@ -126,6 +126,49 @@
 	assert.Equal(t, 1, exit.ExitCode())
 }
 
+// Guards against an end by SIGHUP: the command channel moves at once, with its cursor, while the old address stays
+// silent; a file that cannot be used changes nothing.
+func TestReloadMovesTheChannel(t *testing.T) {
+	asked := make(chan string, 4)
+	listen := func(name string) string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				line, _ := bufio.NewReader(c).ReadString('\n')
+				asked <- name + " " + strings.TrimSpace(line)
+			}
+		}()
+		return ln.Addr().String()
+	}
+	old, now := listen("old"), listen("new")
+	config := func(channel string) string {
+		return fmt.Sprintf(`{"listen":%q,"channel":%q,"known":{"cursor":7,"cmds":[]},"settings":%s}`, freeAddr(t), channel, settings)
+	}
+	cmd, log := program(t, config(old))
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "ROUTER_CONFIG=")
+	assert.Equal(t, "old resume 7", <-asked)
+	hup := func(file, until string) {
+		require.NoError(t, os.WriteFile(path, []byte(file), 0o600))
+		require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+		for log.Scan() && !strings.Contains(log.Text(), until) {
+		}
+	}
+	hup("{", "configuration not reloaded, the old one stays")
+	hup(config(now), "command channel moved")
+	assert.Equal(t, "new resume 7", <-asked)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	for log.Scan() {
+	}
+	require.NoError(t, cmd.Wait())
+}
+
 type lines chan string
 
 func (l lines) Write(b []byte) (int, error) {
@@ -142,7 +185,7 @@
 		"nodes":{"complete":true,"members":[{"id":"s-1","host_port":%q,"phase":"Ready","size":1}]}}]},"settings":%s}`, addr, ex.Listener.Addr(), settings)
 	ctx, end := context.WithCancel(t.Context())
 	log, done := make(lines, 64), make(chan error, 1)
-	go func() { done <- run(ctx, environ(t, config), nil, slog.New(slog.NewTextHandler(log, nil))) }()
+	go func() { done <- run(ctx, nil, environ(t, config), nil, slog.New(slog.NewTextHandler(log, nil))) }()
 	for !strings.Contains(<-log, "msg=serving") {
 	}
 	req, err := http.NewRequest("POST", "http://"+addr+"/call/7f3a9c21e0b4d655/trigger", nil)
@@ -199,7 +242,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		log, done := make(lines, 256), make(chan error, 1)
 		go func() {
-			done <- run(ctx, environ(t, config), []string{"-webhooks", filepath.Join(dir, "webhooks.toml")}, slog.New(slog.NewTextHandler(log, nil)))
+			done <- run(ctx, nil, environ(t, config), []string{"-webhooks", filepath.Join(dir, "webhooks.toml")}, slog.New(slog.NewTextHandler(log, nil)))
 		}()
 		for open := 0; open < 2; {
 			if line := <-log; strings.Contains(line, "serving") {
--- a/core.go
+++ b/core.go
@@ -257,7 +257,9 @@
 	sent := time.Now()
 	go func() {
 		r := c.cfg.Workers.Send(ctx, a)
-		if ctx.Err() != nil && r.Result != decide.OK {
+		// The end of our wait hides how an attempt ended only where nothing is known of it. What proves that it never
+		// ran stays a proof.
+		if ctx.Err() != nil && (r.Result == decide.Reset || r.Result == decide.Timeout) {
 			r.Result = decide.Timeout
 			if errors.Is(context.Cause(ctx), errCalledOff) {
 				r.Result = decide.Cancelled
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -600,7 +600,13 @@
 		if a.due < now && w.lastAnswer < a.sent && !a.req.done {
 			d.blame(now, w, faultStep)
 		}
-	case ConnectFailed, Reset:
+	case Reset:
+		if now-w.lastAnswer < d.minAim {
+			d.blame(now, w, faultStep) // it answers others: a connection was cut, the process lives
+			break
+		}
+		fallthrough
+	case ConnectFailed:
 		d.unbelieve(w)
 		d.blame(now, w, faultLimit+0.1)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1121,3 +1121,24 @@
 		t.Fatalf("a cheap load spreads over %d workers, a dear one over %d", cheap, dear)
 	}
 }
+
+// Guards against one cut connection passing for a dead worker: ejected, it would lose its calls and all beliefs about
+// what it holds. A reset by a worker that has answered nobody lately still ejects it.
+func TestLoneResetEjectsNobody(t *testing.T) {
+	for lately, ejected := range map[int64]bool{100 * ms: false, 1500 * ms: true} {
+		d, f := start(t, settings(Safe, ScopeAll), 2)
+		hear(d, 0)
+		d.Request(0, call("a", 0, 1))
+		w := d.workers[f.last["a"]]
+		d.Outcome(10*ms, ok("a", w.Worker))
+		awake(d, f, 20*ms, lately)
+		d.Request(lately, call("b", lately, 1))
+		if f.last["b"] != w.Worker {
+			t.Fatal("the holder was not taken")
+		}
+		d.Outcome(lately+5*ms, Outcome{ID: "b", Worker: w.Worker, Result: Reset})
+		if w.sick != ejected || (w.holds[0].until == 0) != ejected {
+			t.Errorf("last answer %d ms ago: ejected %v, beliefs %v", lately/ms, w.sick, w.holds[0].until)
+		}
+	}
+}
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,7 +22,7 @@
 
 const (
 	channelDial  = time.Second
-	channelQuiet = 2500 * time.Millisecond // a line comes every second; without one the connection is dead
+	channelQuiet = 2 * time.Second // a line comes every second; without one the connection is dead
 	channelRetry = 100 * time.Millisecond
 	maxLine      = 4 << 20
 	maxDatagram  = 256
@@ -31,6 +32,7 @@
 // Channel follows the command channel. It implements oakthread.Membership.
 type Channel struct {
 	addr   string
+	moved  chan string
 	setup  *wire.Setup
 	known  []Event
 	cursor int64
@@ -39,7 +41,17 @@
 
 // NewChannel follows the channel of a configuration from the events on that it holds.
 func NewChannel(c *Config, log *slog.Logger) *Channel {
-	return &Channel{addr: c.Channel, setup: c.Setup, known: c.Known, cursor: c.Cursor, log: log}
+	return &Channel{addr: c.Channel, moved: make(chan string, 1), setup: c.Setup, known: c.Known, cursor: c.Cursor, log: log}
+}
+
+// Move follows the channel at another address, at once, from the last event known on. It must be called from one
+// goroutine and does not block: of two moves in a row the later one counts.
+func (c *Channel) Move(addr string) {
+	select {
+	case <-c.moved:
+	default:
+	}
+	c.moved <- addr
 }
 
 // Watch tells the events known at the start, then those of the channel, and connects again until ctx ends.
@@ -47,22 +59,39 @@
 	for _, ev := range c.known {
 		tell(ev.Roster)
 	}
-	for c.addr != "" && ctx.Err() == nil {
-		err := c.follow(ctx, tell)
-		if ctx.Err() != nil {
-			break
+	for ctx.Err() == nil {
+		// An old address may stay silent or refuse: a move ends whatever goes on there.
+		on, off := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- c.follow(on, tell) }()
+		select {
+		case c.addr = <-c.moved:
+			off()
+			<-ended
+			c.log.Info("command channel moved", "to", c.addr, "after", c.cursor)
+			continue
+		case err := <-ended:
+			off()
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			c.log.Warn("command channel lost, connecting again", "after", c.cursor, "err", err)
 		}
-		c.log.Warn("command channel lost, connecting again", "after", c.cursor, "err", err)
 		select {
 		case <-ctx.Done():
+		case c.addr = <-c.moved:
 		case <-time.After(channelRetry):
 		}
 	}
-	<-ctx.Done()
 	return ctx.Err()
 }
 
+// follow reads the channel at one address until it fails. Without an address there is nothing to read.
 func (c *Channel) follow(ctx context.Context, tell func(oakthread.Roster)) error {
+	if c.addr == "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	d := net.Dialer{Timeout: channelDial}
 	conn, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
@@ -77,17 +106,19 @@
 		return err
 	}
 	lines := bufio.NewScanner(conn)
-	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for lines.Scan() {
+	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+	lines.Split(wholeLines)
+	for first := true; lines.Scan(); {
 		if err := conn.SetDeadline(time.Now().Add(channelQuiet)); err != nil {
 			return err
 		}
-		if len(lines.Bytes()) == 0 {
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
 			continue
 		}
-		if err := c.take(lines.Bytes(), tell); err != nil {
+		if err := c.take(lines.Bytes(), first, tell); err != nil {
 			return err
 		}
+		first = false
 	}
 	if err := lines.Err(); err != nil {
 		return err
@@ -95,20 +126,26 @@
 	return io.EOF
 }
 
-// take reads one line. Events seen before are passed over; a number beyond ours without its event says that
-// some are missing, and they are asked for again on a new connection.
-func (c *Channel) take(line []byte, tell func(oakthread.Roster)) error {
+// wholeLines parts lines. Guards against a line cut off by the end of a connection: its beginning may read as
+// another number.
+func wholeLines(data []byte, _ bool) (int, []byte, error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	return 0, nil, nil
+}
+
+// take reads one line. Events seen before are passed over. Numbers that are skipped say that events are missing, and
+// these are asked for again on a new connection; the first event there is the next there is, whatever its number.
+func (c *Channel) take(line []byte, first bool, tell func(oakthread.Roster)) error {
 	ev, err := parseEvent(line, c.setup)
 	if err != nil {
 		return fmt.Errorf("line %.80q: %w", line, err)
 	}
-	if ev.Beat {
-		if ev.Cursor > c.cursor {
-			return fmt.Errorf("events after %d are missing, the last is %d", c.cursor, ev.Cursor)
-		}
-		return nil
+	if ev.Beat && ev.Cursor > c.cursor || !ev.Beat && !first && ev.Cursor > c.cursor+1 {
+		return fmt.Errorf("events after %d are missing, the last is %d", c.cursor, ev.Cursor)
 	}
-	if ev.Cursor <= c.cursor {
+	if ev.Beat || ev.Cursor <= c.cursor {
 		return nil
 	}
 	c.cursor = ev.Cursor
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -2,7 +2,8 @@
 
 // This file owns the connections to executors: one http.Transport for each of them, so that an address that
 // passes to a new executor never meets an old connection, and one count of sockets over all. It must never
-// write more than one request for an attempt, nor say of a request that it never ran without proof.
+// write more than one request for an attempt, say of a request that it never ran without proof, nor take bytes that
+// an executor wrote unasked for an answer.
 
 import (
 	"bytes"
@@ -27,12 +28,22 @@
 )
 
 const (
-	maxAnswer   = 1 << 20 // bytes of an executor's answer
-	idlePerHost = 64      // a burst's connections are kept: a handshake costs both sides more than a socket
-	idleShare   = 0.6     // of the time after which an executor closes an idle connection, we do
+	maxAnswer   = 1 << 20                // bytes of an executor's answer
+	smallAnswer = 16 << 10               // up to here an answer is not counted
+	answersRoom = 4 << 20                // bytes of all greater answers together
+	idlePerHost = 64                     // a burst's connections are kept: a handshake costs both sides more than a socket
+	idleShare   = 0.6                    // of the time after which an executor closes an idle connection, we do
+	idleLeast   = 100 * time.Millisecond // a connection used later than this does not give way
+	settle      = 2 * time.Millisecond   // after an answer, before the next request: what belongs to none shows by then
+	lineKeptFor = time.Minute            // an executor's Transport that nothing uses
 )
 
-var errNoSocket = errors.New("no socket left")
+var (
+	errNoSocket = errors.New("no socket left")
+	errUnasked  = errors.New("bytes came that belong to no answer")
+	errTooLong  = errors.New("the answer is too long")
+	errNoLength = errors.New("the answer's length is not told, or told twice")
+)
 
 // dialError marks a connection that never came up: nothing ran.
 type dialError struct{ error }
@@ -47,31 +58,38 @@
 	fields  []string
 	connect time.Duration
 	idle    time.Duration
-	sockets atomic.Int64 // that may yet be opened
+	slots   chan struct{} // one for each open connection
+	room    atomic.Int64  // bytes that answers may yet take
 	mu      sync.Mutex
 	lines   map[decide.WorkerID]*line
+	open    sync.Mutex // guards conns; taken after mu, before a connection's own
+	conns   map[*conn]struct{}
 }
 
 // line is the connections to one executor.
 type line struct {
 	member oakthread.Member
+	used   time.Time
 	*http.Transport
 }
 
 // NewFleet makes a Fleet that holds at most sockets connections.
 func NewFleet(s *wire.Setup, sockets int) *Fleet {
-	f := &Fleet{connect: s.ConnectTimeout(), lines: map[decide.WorkerID]*line{},
-		idle: time.Duration(idleShare * float64(s.ConnIdle()))}
+	f := &Fleet{connect: s.ConnectTimeout(), lines: map[decide.WorkerID]*line{}, conns: map[*conn]struct{}{},
+		slots: make(chan struct{}, sockets),
+		idle:  time.Duration(idleShare * float64(s.ConnIdle()))}
 	for _, c := range s.Categories {
 		f.classes = append(f.classes, url.PathEscape(c.Name))
 	}
 	if s.Feedback.How != "off" {
 		f.fields = s.Feedback.Fields
 	}
-	f.sockets.Store(int64(sockets))
+	f.room.Store(answersRoom)
 	return f
 }
 
+// line is the Transport of an executor, made where there is none. One made late, for an executor already forgotten, is
+// nobody's to drop: those unused for long go when the next is made.
 func (f *Fleet) line(m oakthread.Member) *line {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,7 +103,14 @@
 			IdleConnTimeout: f.idle, MaxResponseHeaderBytes: 16 << 10, ForceAttemptHTTP2: false,
 			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10}}
 		f.lines[m.ID] = l
+		for id, x := range f.lines {
+			if x != l && time.Since(x.used) > lineKeptFor {
+				delete(f.lines, id)
+				x.CloseIdleConnections()
+			}
+		}
 	}
+	l.used = time.Now()
 	return l
 }
 
@@ -110,39 +135,139 @@
 
 // dial opens a counted connection, within the settings' time.
 func (f *Fleet) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	if f.sockets.Add(-1) < 0 {
-		f.Close() // idle connections to others give way
-		if f.sockets.Load() < 0 {
-			f.sockets.Add(1)
+	ctx, done := context.WithTimeout(ctx, f.connect)
+	defer done()
+	select {
+	case f.slots <- struct{}{}:
+	default:
+		f.giveWay()
+		select {
+		case f.slots <- struct{}{}:
+		case <-ctx.Done():
 			return nil, errNoSocket
 		}
 	}
-	d := net.Dialer{Timeout: f.connect}
-	c, err := d.DialContext(ctx, network, addr)
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 	if err != nil {
-		f.sockets.Add(1)
+		<-f.slots
 		return nil, dialError{err}
 	}
-	return &conn{Conn: c, fleet: f}, nil
+	k := &conn{Conn: c, fleet: f, framer: framer{answers: true}, quiet: time.Now()}
+	f.open.Lock()
+	f.conns[k] = struct{}{}
+	f.open.Unlock()
+	return k, nil
+}
+
+// giveWay closes the connection that has been idle for longest.
+func (f *Fleet) giveWay() {
+	var longest *conn
+	most := idleLeast
+	f.open.Lock()
+	for c := range f.conns {
+		if idle := c.idle(); idle > most {
+			longest, most = c, idle
+		}
+	}
+	f.open.Unlock()
+	if longest != nil {
+		_ = longest.Close()
+	}
 }
 
-// conn counts the bytes written, so that a failure tells whether any of a request had left.
+// conn is a connection to an executor. It counts the bytes written, so that a failure tells whether any of a request
+// had left, and follows the answers. Guards against bytes behind an answer, a second copy or noise: http.Transport
+// would read them as the answer to the next request. A connection that brought any carries no further request.
 type conn struct {
 	net.Conn
-	fleet   *Fleet
-	written atomic.Int64
-	once    sync.Once
+	fleet *Fleet
+	once  sync.Once
+	begun atomic.Int64 // bytes whose writing has begun and did not fail
+
+	mu      sync.Mutex
+	framer  framer
+	waiting bool      // a request was begun, and its answer has not ended
+	quiet   time.Time // when the last answer ended
+	tainted bool
+	broken  error // why the answer cannot be read
+}
+
+func (c *conn) idle() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		return 0
+	}
+	return time.Since(c.quiet)
 }
 
 func (c *conn) Write(b []byte) (int, error) {
+	if !c.begin() {
+		return 0, errUnasked
+	}
+	// Counted before it is done: a failure seen meanwhile must not pass for a proof that nothing left.
+	c.begun.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
+	c.begun.Add(int64(n - len(b)))
 	return n, err
 }
 
+// begin readies the connection for a request; false: it must carry none.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		return true
+	}
+	if rest := settle - time.Since(c.quiet); rest > 0 && c.framer.lines > 0 {
+		c.mu.Unlock()
+		time.Sleep(rest)
+		c.mu.Lock()
+	}
+	c.waiting = !c.tainted
+	return c.waiting
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	dead := c.tainted && !c.waiting
+	c.mu.Unlock()
+	if dead {
+		return 0, errUnasked
+	}
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 {
+		return n, err
+	}
+	if !c.waiting {
+		c.tainted = true
+		return 0, errUnasked
+	}
+	used := c.framer.feed(b[:n])
+	switch {
+	case c.framer.odd:
+		c.tainted, c.broken = true, errNoLength
+		return 0, errNoLength
+	case c.framer.ended:
+		c.waiting, c.quiet = false, time.Now()
+		c.tainted = c.tainted || used < n
+	case c.framer.body && c.framer.left == uncounted:
+		c.tainted = true // its end is not seen here
+	}
+	return used, err
+}
+
 func (c *conn) Close() error {
-	c.once.Do(func() { c.fleet.sockets.Add(1) })
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.fleet.open.Lock()
+		delete(c.fleet.conns, c)
+		c.fleet.open.Unlock()
+		<-c.fleet.slots
+	})
+	return err
 }
 
 // unrepeatable is a body that http.Transport can neither rewind nor take for absent, so that it never sends a
@@ -165,16 +290,19 @@
 			Header: h, Body: unrepeatable(method, body), ContentLength: int64(len(body))}).WithContext(
 			httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 				if c, _ = i.Conn.(*conn); c != nil {
-					before, reused = c.written.Load(), i.Reused
+					before, reused = c.begun.Load(), i.Reused
 				}
 			}}))
 		resp, err = f.line(m).RoundTrip(req)
 		if err == nil {
-			got, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+			got, err = f.body(resp)
 			resp.Body.Close()
 			return resp, got, false, err
 		}
-		unsent = c == nil || c.written.Load() == before
+		if c != nil {
+			_ = c.Close() // nothing is written on it any more, whatever goes on in the Transport
+		}
+		unsent = c == nil || c.begun.Load() == before
 		// The executor had closed an idle connection before anything was written on it: a new one will do.
 		if try == 0 && c != nil && reused && unsent && ctx.Err() == nil {
 			f.mu.Lock()
@@ -189,18 +317,53 @@
 	}
 }
 
+// body reads an answer's body. Guards against answers without end or beyond all memory, and against one cut off
+// that looks whole: its end must be told.
+func (f *Fleet) body(resp *http.Response) ([]byte, error) {
+	if resp.StatusCode == http.StatusSwitchingProtocols || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errNoLength
+	}
+	if resp.ContentLength > maxAnswer {
+		return nil, errTooLong
+	}
+	counted := int64(0)
+	defer func() { f.room.Add(counted) }()
+	got := make([]byte, 0, min(max(resp.ContentLength, 0)+1, smallAnswer))
+	for {
+		n, err := resp.Body.Read(got[len(got):cap(got)])
+		got = got[:len(got)+n]
+		if errors.Is(err, io.EOF) {
+			return got, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(got) < cap(got) {
+			continue
+		}
+		more := int64(max(cap(got), 1<<10))
+		counted += more
+		if f.room.Add(-more) < 0 || len(got) > maxAnswer {
+			return nil, errTooLong
+		}
+		got = append(make([]byte, 0, int64(cap(got))+more), got...)
+	}
+}
+
 // failure reads an error: what proves that nothing ran, and what does not.
 func failure(ctx context.Context, unsent bool, err error) decide.Result {
 	var dial dialError
 	switch {
 	case errors.Is(err, errNoSocket):
 		return decide.Moot // our own want, no fault of the worker's
+	case ctx.Err() != nil && unsent:
+		return decide.Moot // our time ran out, or we called it off, before anything was written
 	case errors.As(err, &dial):
 		return decide.ConnectFailed
 	case ctx.Err() != nil:
 		return decide.Timeout
 	case unsent:
-		return decide.ConnectFailed
+		return decide.Moot // the connection came up and was cut: the executor is there
 	}
 	return decide.Reset
 }
@@ -218,11 +381,7 @@
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
-	r := f.reply(resp, body)
-	if len(body) > maxAnswer {
-		r.Result, r.Body = decide.Error, nil
-	}
-	return r
+	return f.reply(resp, body)
 }
 
 var notes = map[string]decide.Warmth{"hit": decide.WarmHit, "spawn": decide.BeganLoad,
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -16,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"oakthread"
 	"oakthread/decide"
 	"oakthread/internal/reply"
@@ -29,8 +27,12 @@
 	maxPatience = time.Hour
 	wayBack     = 200 * time.Millisecond // kept back of a client's patience for the answer's way, at most
 	wayBackPart = 0.2                    // and at most this part of it
-	idleClients = 10 * time.Second       // clients close after 4 s; the rest are dead
-	headerTime  = 5 * time.Second
+	idleClients = 5 * time.Second        // clients close after 4 s; the rest are dead
+	headerTime  = 2 * time.Second        // from connecting to a whole head: a client owed a refusal waits 3 s
+	bodyTime    = 2 * time.Second        // from the head to a whole body; a head that took long has said little
+	mostLanes   = 1 << 10                // figures beyond these are no model's
+	mostMemory  = 1 << 24                // MB
+	mostLoad    = time.Hour
 )
 
 // Front serves the platform's clients. It implements http.Handler.
@@ -65,12 +67,36 @@
 func (f *Front) Bad() int64 { return f.bad.Load() }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g := gateOf(r.Context())
+	if g != nil && g.odd.Load() {
+		f.refuse(w, http.StatusBadRequest, errLengths) // the rest may be read as other requests
+		return
+	}
+	if r.ContentLength != 0 {
+		// Against bodies that never end, here and where the server reads what a handler left.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+	} else if g != nil && !g.guard.take(g) {
+		panic(http.ErrAbortHandler)
+	}
+	if len(r.TransferEncoding) > 0 { // its end is the server's word alone: nothing behind it is read
+		w.Header().Set("Connection", "close")
+	}
 	if _, known := f.mux.Handler(r); known == "" {
 		f.bad.Add(1)
+		w.Header().Set("Connection", "close")
 	}
 	f.mux.ServeHTTP(w, r)
 }
 
+var errLengths = errors.New("the lengths of a request on this connection contradict each other")
+
+// refuse answers what cannot be read and ends the connection: what comes behind it is not to be trusted.
+func (f *Front) refuse(w http.ResponseWriter, status int, err error) {
+	f.bad.Add(1)
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
 // ping tells the platform's front that calls may come: not before a list is loaded, nor once we are to end.
 func (f *Front) ping(w http.ResponseWriter, r *http.Request) {
 	if !f.core.Ready() || f.draining.Load() {
@@ -84,10 +110,19 @@
 	defer f.open.Add(-1)
 	q, status, err := f.takeIn(w, r, time.Now())
 	if err != nil {
-		f.bad.Add(1)
-		http.Error(w, err.Error(), status)
+		f.refuse(w, status, err)
 		return
 	}
+	if g := gateOf(r.Context()); g != nil && r.ContentLength != 0 {
+		if g.odd.Load() { // seen while the body came
+			f.refuse(w, http.StatusBadRequest, errLengths)
+			return
+		}
+		if !g.guard.take(g) {
+			panic(http.ErrAbortHandler) // it gave way before the call was whole
+		}
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	for end, old := q.Deadline.UnixMilli(), f.latest.Load(); end > old && !f.latest.CompareAndSwap(old, end); {
 		old = f.latest.Load()
 	}
@@ -101,6 +136,9 @@
 	if err != nil {
 		return q, http.StatusBadRequest, err
 	}
+	if r.ContentLength > maxBody {
+		return q, http.StatusRequestEntityTooLarge, fmt.Errorf("body is over %d bytes", maxBody)
+	}
 	q.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
@@ -140,8 +178,13 @@
 	if err != nil {
 		return q, fmt.Errorf("X-Extras: %w", err)
 	}
-	q.MemoryMB, q.Lanes = extras["memory_mb"], int(min(extras["lanes"], 1e6))
-	q.LoadTime = time.Duration(min(extras["load_ms"], 3.6e6) * float64(time.Millisecond))
+	lanes, told := extras["lanes"]
+	if told && lanes < 1 || lanes > mostLanes || extras["memory_mb"] > mostMemory ||
+		extras["load_ms"] > float64(mostLoad/time.Millisecond) {
+		return q, fmt.Errorf("X-Extras %q: a figure is out of range", h.Get("X-Extras"))
+	}
+	q.MemoryMB, q.Lanes = extras["memory_mb"], int(lanes)
+	q.LoadTime = time.Duration(extras["load_ms"] * float64(time.Millisecond))
 	return q, nil
 }
 
@@ -164,10 +207,12 @@
 // calls for linger, since clients learn late, answers all it has taken, and returns nil. longest is the least time
 // given to those.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, conns int, linger, longest time.Duration, log *slog.Logger) error {
-	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, ReadTimeout: longest + headerTime, IdleTimeout: idleClients,
+	held := newGuard(ln, conns)
+	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: idleClients, ConnState: held.state,
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, gateKey{}, c) },
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(netutil.LimitListener(ln, conns)) }()
+	go func() { failed <- srv.Serve(held) }()
 	select {
 	case err := <-failed:
 		return err
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -211,8 +211,8 @@
 	ln.Close()
 	f := NewFleet(setup(t), 1)
 	assert.Equal(t, decide.ConnectFailed, f.Send(t.Context(), attempt(member(addr), "x")).Result)
-	assert.Equal(t, int64(1), f.sockets.Load(), "a failed dial keeps its socket")
-	f.sockets.Store(0)
+	assert.Empty(t, f.slots, "a failed dial keeps its socket")
+	f.slots <- struct{}{}
 	assert.Equal(t, decide.Moot, f.Send(t.Context(), attempt(member(addr), "x")).Result)
 	assert.Equal(t, decide.Timeout, failure(canceled(t), false, errors.New("cut")))
 }
@@ -257,7 +257,8 @@
 	}
 	asked := make(chan string, 8)
 	go func() {
-		for _, say := range []string{event(3) + event(4) + "4\nnot json\n", event(4) + "6\n", event(5) + event(6) + "6\n"} {
+		for _, say := range []string{event(3) + event(4) + "4\nnot json\n", event(4) + "6\n",
+			event(5) + event(7), event(6) + strings.TrimSpace(event(7)), event(9)} {
 			c, err := ln.Accept()
 			if err != nil {
 				return
@@ -275,13 +276,17 @@
 	err = c.Watch(ctx, func(oakthread.Roster) {
 		mu.Lock()
 		defer mu.Unlock()
-		if told++; told == 4 { // the known one, and 4, 5 and 6 once each
+		if told++; told == 5 { // the known one, 4, 5, 6, and 9 as the next
 			stop()
 		}
 	})
 	require.ErrorIs(t, err, context.Canceled)
-	assert.Equal(t, []string{"resume 3\n", "resume 4\n", "resume 4\n"}, []string{<-asked, <-asked, <-asked})
-	assert.Equal(t, int64(6), c.cursor)
+	var got []string
+	for range 5 {
+		got = append(got, <-asked)
+	}
+	assert.Equal(t, []string{"resume 3\n", "resume 4\n", "resume 4\n", "resume 5\n", "resume 6\n"}, got)
+	assert.Equal(t, int64(9), c.cursor)
 }
 
 // Guards the rules on datagrams: 256 bytes at most, from known peers alone, known by their address.
