Keep calls here while their copy is loaded by order, out of the workers' queues

Checked, by printing what was believed beside each full answer: two thirds went to copies believed loaded, reports said 10 to 20 calls waiting at 30 to 50 per cent of the processors, and answers that waited for a load made up a tenth. At some 50 calls a second a worker and a store that takes 3 to 5 s these alone are 15 to 25 waiters: the bounded queue is full of them. Ruled out: one bad worker (all alike), want of sockets (moot=0), our own share (6 calls on the mean). Also seen: 66 ejections in 22 s, most from plain errors to calls of functions that do not exist, asked by bad clients.

At fault: dispatch in decide.go sent every call for a missing copy on at once, and judge blamed a worker for any error.

Changed: a call whose copy is not known to stand waits here, within two fifths of its time, while one order loads it; a copy that only a peer told of is asked for the same way. Errors for a function nobody has served weigh a quarter, and such calls end after two. A call that nothing could be sent for is refused early. Counters tell how attempts end.

--- a/cmd/oakthread/main.go
+++ b/cmd/oakthread/main.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"oakthread"
+	"oakthread/decide"
 	"oakthread/internal/platform"
 	"oakthread/webhook"
 )
@@ -216,7 +217,9 @@
 			told, next = n, seen.Add(countEvery)
 			log.Info("counts", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed,
 				"timed_out", n.TimedOut, "abandoned", n.Abandoned, "turned_away", n.TurnedAway,
-				"attempts", n.Attempts, "orders", n.Orders, "orders_held", n.OrdersHeld, "bad", front.Bad())
+				"attempts", n.Attempts, "full", n.Ends[decide.Full], "moot", n.Ends[decide.Moot], "cut", n.Ends[decide.Reset],
+				"unreached", n.Ends[decide.ConnectFailed], "late", n.Ends[decide.Timeout], "errors", n.Ends[decide.Error],
+				"called_off", n.Ends[decide.Cancelled], "orders", n.Orders, "orders_held", n.OrdersHeld, "bad", front.Bad())
 		}
 	}
 }
--- a/core.go
+++ b/core.go
@@ -42,6 +42,7 @@
 	Taken, Served, Refused, Failed, TimedOut, Abandoned int64
 	TurnedAway                                          int64 // refused by the cap on open requests
 	Attempts, Orders, OrdersHeld                        int64
+	Ends                                                [decide.Results]int64 // of attempts, by decide.Result
 }
 
 // Core dispatches requests. Its methods may be called from many goroutines.
@@ -274,6 +275,7 @@
 // landed takes the end of an attempt. The first good answer is the request's.
 func (c *Core) landed(key flightKey, w decide.WorkerID, sent time.Time, r Reply) {
 	delete(c.flights, key)
+	c.n.Ends[r.Result]++
 	k := c.open[key.id]
 	if r.Result == decide.OK && k != nil {
 		c.book(k, Answer{Outcome: Served, Body: r.Body}, false)
--- a/decide/api.go
+++ b/decide/api.go
@@ -112,6 +112,7 @@
 	Cancelled
 	Moot
 	Miss
+	Results // how many there are
 )
 
 // Warmth is what an answer tells of the copy it found.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,6 +45,7 @@
 	roomLow     = 0.7   // of the room for open calls: the same two
 	roomHigh    = 0.95
 	queueDevs   = 1.5 // calls out for longer than mean + this many deviations are not counted as queued
+	holdShare   = 0.4 // of a call's time: for so long it waits here for a load, then where the load is
 	waitPrior   = 4   // calls of usual length that weigh against chance in the expected time
 	forever     = int64(math.MaxInt64)
 )
@@ -97,10 +98,69 @@
 			d.finish(now, r)
 			return
 		}
+		if len(r.tries) == 0 && now >= r.holdEnd() { // nothing was sent: refuse early
+			d.finish(now, r)
+			return
+		}
 		d.wakeAt(r, now+max(d.minAim/beats/2, d.set.Quantum))
 		return
 	}
-	d.send(now, r, w, trial)
+	if trial || !d.hold(now, r, w) {
+		d.send(now, r, w, trial)
+	}
+}
+
+func (r *request) holdEnd() int64 {
+	return r.arrived + int64(holdShare*float64(r.Deadline-r.arrived))
+}
+
+// hold has a copy loaded by order and keeps the call here until it stands. Guards against bounded queues full
+// of calls that wait for a slow store, which turn away calls for copies that stand. A copy that only a peer
+// told of is asked for as well: it may be loading. A function that no worker has served is never ordered: bad
+// clients name functions that do not exist. Harm: one way to the worker and back.
+func (d *Dispatcher) hold(now int64, r *request, w *worker) bool {
+	if !d.set.LoadsOnMiss || !r.fn.served || len(r.tries) > 0 || now >= r.holdEnd() {
+		return false
+	}
+	h := r.fn.at(w, true)
+	if h.until > now && h.sure || h.noOrder > now {
+		return false
+	}
+	if !h.ordered {
+		if !d.order(now, h, 1) {
+			return false
+		}
+		r.began = h.until <= now
+		h.ordered, h.orderedAt = true, now
+		if d.set.Peers && h.until <= now {
+			h.told = now
+			d.news = append(d.news, h)
+			d.tell(now)
+		}
+	}
+	r.fn.held = append(r.fn.held, r)
+	d.wakeAt(r, r.holdEnd())
+	return true
+}
+
+// loadTook learns what a load takes and, by what it should take, how slow the store is.
+func (d *Dispatcher) loadTook(f *function, x float64) {
+	usual := d.loads.mean
+	if f.load > 0 {
+		usual = float64(f.load)
+	}
+	d.stress += learnStore * (min(max(x/max(usual, 1), 1), stressMax) - d.stress)
+	d.loads.add(x, learn)
+}
+
+// cut takes a connection that ended under a call: cut while others are answered, the process lives.
+func (d *Dispatcher) cut(now int64, w *worker, res Result) {
+	if res == Reset && now-w.lastAnswer < d.minAim {
+		d.blame(now, w, faultStep)
+		return
+	}
+	d.unbelieve(w)
+	d.blame(now, w, faultLimit+0.1)
 }
 
 func (d *Dispatcher) send(now int64, r *request, w *worker, trial bool) {
@@ -224,7 +284,8 @@
 			return
 		}
 	}
-	if now >= r.end(d) || !d.mayResendAnywhere(now, r) {
+	unknown := o.Result == Error && o.Warmth != LoadFailed && !r.fn.served && len(r.tries) > 1
+	if now >= r.end(d) || unknown || !d.mayResendAnywhere(now, r) {
 		d.finish(now, r)
 		return
 	}
@@ -379,9 +440,9 @@
 		if w.turn != d.turn || w.now > base*(1+eps) {
 			continue
 		}
-		if h.until > now && h.inflight < h.copies*r.fn.lanes {
+		if h.until > now && h.sure && h.inflight < h.copies*r.fn.lanes {
 			free = append(free, w)
-		} else if h.until > now || h.inflight > 0 {
+		} else if h.until > now || h.inflight > 0 || h.ordered {
 			full = append(full, w)
 		}
 	}
@@ -404,6 +465,9 @@
 			if u := affinity(r.fn.id, w.Worker, 1); math.Exp(-1/u) > 1-places {
 				x += affinity(r.fn.id^FuncID(mix(uint64(d.set.Number+1))), w.Worker, 1e6)
 			}
+			if h := r.fn.at(w, false); h != nil && h.noOrder > now {
+				x /= 1e9 // it had no room just now
+			}
 			if best == nil || x > top {
 				best, top = w, x
 			}
@@ -456,7 +520,7 @@
 	if h.until <= now {
 		h.copies = 1
 	}
-	h.until = now + d.set.KeepAlive
+	h.until, h.sure = now+d.set.KeepAlive, true
 	if d.set.Peers && now-h.told > d.set.KeepAlive/2 {
 		h.told = now
 		d.news = append(d.news, h)
@@ -466,7 +530,7 @@
 // unbelieve ends all beliefs about a worker that restarted, was replaced or broke its connections.
 func (d *Dispatcher) unbelieve(w *worker) {
 	for _, h := range w.holds {
-		h.until, h.copies = 0, 1
+		h.until, h.copies, h.sure = 0, 1, false
 	}
 	w.heard, w.others = false, 0
 }
@@ -548,7 +612,7 @@
 	switch o.Result {
 	case OK:
 		d.missed(0)
-		w.lastAnswer, w.heard = now, true
+		w.lastAnswer, w.heard, h.fn.served = now, true, true
 		if !d.isCold(now, w) {
 			d.answers, d.answersAt = d.answers*d.fade(now)+1, now
 		}
@@ -561,20 +625,15 @@
 			d.log(now, "worker %d back: %d%% of late calls failed", w.Worker, int(100*w.fault))
 		}
 		miss := 0.0
-		if o.Warmth == BeganLoad {
-			miss = 1
+		if o.Warmth == BeganLoad || a.req.began {
+			miss, a.req.began = 1, false
 		}
 		d.misses += learnLoads * (miss - d.misses)
 		switch o.Warmth {
 		case BeganLoad, AwaitedLoad:
 			x := max(0, age-st.mean)
 			if o.Warmth == BeganLoad {
-				usual := d.loads.mean
-				if h.fn.load > 0 {
-					usual = float64(h.fn.load)
-				}
-				d.stress += learnStore * (min(max(x/max(usual, 1), 1), stressMax) - d.stress)
-				d.loads.add(x, learn)
+				d.loadTook(h.fn, x)
 			}
 		default:
 			st.add(age, learnTime)
@@ -587,8 +646,10 @@
 			h.until = 0
 		} else if o.Result == Miss {
 			h.until = 0
-		} else {
+		} else if h.fn.served {
 			d.blame(now, w, faultStep)
+		} else { // it may be a function that no worker knows
+			d.blame(now, w, faultStep/4)
 		}
 	case Full:
 		w.lastAnswer = now
@@ -600,15 +661,8 @@
 		if a.due < now && w.lastAnswer < a.sent && !a.req.done {
 			d.blame(now, w, faultStep)
 		}
-	case Reset:
-		if now-w.lastAnswer < d.minAim {
-			d.blame(now, w, faultStep) // it answers others: a connection was cut, the process lives
-			break
-		}
-		fallthrough
-	case ConnectFailed:
-		d.unbelieve(w)
-		d.blame(now, w, faultLimit+0.1)
+	case ConnectFailed, Reset:
+		d.cut(now, w, o.Result)
 	}
 }
 
@@ -763,7 +817,7 @@
 func (d *Dispatcher) cold(now int64, id FuncID) bool {
 	if f := d.funcs[funcTag(id)]; f != nil {
 		for _, h := range f.holders {
-			if h.until > now || h.inflight > 0 {
+			if h.until > now || h.inflight > 0 || h.ordered {
 				return false
 			}
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1142,3 +1142,62 @@
 		}
 	}
 }
+
+// Guards against workers' queues that fill with calls for copies still loading: such calls wait here, one order
+// loads, and its end sends them. A load that outlasts their patience gets them all the same, in time.
+func TestCallsWaitHereForALoad(t *testing.T) {
+	d, f := start(t, settings(Safe, ScopeAll), 3)
+	hear(d, 0)
+	d.Request(0, call("a", 0, 1))
+	if len(f.sends) != 1 || len(f.loads) != 0 {
+		t.Fatal("a function that no worker has served was ordered")
+	}
+	d.Outcome(10*ms, ok("a", f.last["a"]))
+	now := 9000 * ms // the belief has lapsed
+	awake(d, f, 20*ms, now)
+	for _, id := range []string{"b", "c"} {
+		d.Request(now, call(id, now, 1))
+	}
+	if len(f.sends) != 1 || len(f.loads) != 1 {
+		t.Fatalf("%d sends, %d orders", len(f.sends), len(f.loads))
+	}
+	d.Loaded(now+600*ms, f.loads[0], 1, 1, OK)
+	if f.last["b"] != f.loads[0] || f.last["c"] != f.loads[0] {
+		t.Fatalf("sent %v, loaded at %v", f.last, f.loads)
+	}
+	d.Outcome(now+610*ms, ok("b", f.last["b"]))
+	d.Outcome(now+610*ms, ok("c", f.last["c"]))
+	now = 19000 * ms
+	awake(d, f, 9700*ms, now)
+	d.Request(now, call("d", now, 1))
+	awake(d, f, now, now+1180*ms)
+	if f.last["d"] != 0 {
+		t.Fatal("not held")
+	}
+	awake(d, f, now+1200*ms, now+1220*ms)
+	if f.last["d"] == 0 {
+		t.Fatal("held beyond its part of the time")
+	}
+}
+
+// Guards healthy workers against calls of functions that do not exist: such errors come from any worker alike. And the
+// calls go round no more than twice.
+func TestUnknownFunctionsBlameNobody(t *testing.T) {
+	d, f := start(t, settings(Safe, ScopeAll), 3)
+	hear(d, 0)
+	for i := range 4 {
+		now, id := int64(i)*20*ms, fmt.Sprint(i)
+		d.Request(now, call(id, now, FuncID(i)))
+		for try := 0; f.answers[id] == ""; try++ {
+			if try == 2 {
+				t.Fatal("tried again and again")
+			}
+			d.Outcome(now+ms, Outcome{ID: id, Attempt: try, Worker: f.last[id], Result: Error})
+		}
+	}
+	for _, w := range d.list {
+		if w.sick {
+			t.Errorf("worker %d is ejected", w.Worker)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -82,6 +82,7 @@
 	wake    int64
 	stream  bool
 	done    bool
+	began   bool // it had a load ordered
 }
 
 // attempt is one send. ran: it may have run (true until an outcome proves otherwise).
@@ -185,6 +186,8 @@
 	calls   float64 // ours lately, decaying over the keep-alive
 	callsAt int64
 	holders []*holder
+	served  bool       // a worker knows it
+	held    []*request // calls that wait here for a load
 }
 
 // holder is a worker believed to hold copies of a function, or about to (our own request or order loads it).
@@ -195,6 +198,9 @@
 	inflight  int
 	copies    int
 	orderedAt int64
+	ordered   bool  // an order is under way
+	sure      bool  // an answer of its own told us so; else a peer did
+	noOrder   int64 // an order has failed: none before this time
 	told      int64
 }
 
@@ -587,8 +593,11 @@
 		d.funcs[p.f] = f
 	}
 	h := f.at(w, true)
-	if pass && h.until <= now {
-		d.news = append(d.news, h)
+	if h.until <= now {
+		h.sure = false
+		if pass {
+			d.news = append(d.news, h)
+		}
 	}
 	h.until = max(h.until, now+d.set.KeepAlive)
 }
@@ -664,7 +673,7 @@
 	return (xs[len(xs)/2] + xs[(len(xs)-1)/2]) / 2
 }
 
-// Loaded takes what came of an order.
+// Loaded takes what came of an order, and lets go the calls that were held for it.
 func (d *Dispatcher) Loaded(now int64, id WorkerID, fid FuncID, copies int, res Result) {
 	d.tick(now)
 	defer d.arm()
@@ -672,17 +681,30 @@
 	if w == nil || f == nil {
 		return
 	}
-	h := f.at(w, false)
-	if h == nil {
-		return
+	if res == OK || res == Full || res == Error {
+		w.lastAnswer = now
 	}
-	if copies > 0 {
-		d.believe(now, h)
-		h.copies = copies
+	if h := f.at(w, false); h != nil {
+		h.ordered = false
+		if copies > 0 {
+			if took := float64(now - h.orderedAt); h.orderedAt > 0 && took > float64(f.load)/2 {
+				d.loadTook(f, took)
+			}
+			d.believe(now, h)
+			h.copies = copies
+		} else {
+			h.noOrder = now + d.minAim
+		}
 	}
 	if res == ConnectFailed || res == Reset {
-		d.unbelieve(w)
-		d.blame(now, w, faultLimit+0.1)
+		d.cut(now, w, res)
+	}
+	held := f.held
+	f.held = nil
+	for _, r := range held {
+		if !r.done && len(r.tries) == 0 {
+			d.dispatch(now, r)
+		}
 	}
 }
 
