--- a/core.go
+++ b/core.go
@@ -32,7 +32,7 @@
 	defaultOpen  = 4096
 	eventsWait   = 1024                   // events that may wait for the loop
 	rationMargin = 300 * time.Millisecond // an order may be this long on its way to the worker
-	calledFor    = 10 * time.Minute       // orders name only functions called within this time
+	calledFor    = time.Minute            // orders name only functions called within this time
 	probeTime    = 250 * time.Millisecond
 	overdue      = 20 * time.Millisecond // past a deadline: the module has not answered, so the core does
 )
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -94,12 +94,8 @@
 	}
 	w, trial := d.choose(now, r)
 	if w == nil {
-		if len(r.tries) > 0 && !d.mayResendAnywhere(now, r) {
-			d.finish(now, r)
-			return
-		}
-		if len(r.tries) == 0 && now >= r.holdEnd() { // nothing was sent: refuse early
-			d.finish(now, r)
+		if len(r.tries) > 0 && !d.mayResendAnywhere(now, r) || len(r.tries) == 0 && now >= r.holdEnd() {
+			d.finish(now, r) // where nothing was sent, early
 			return
 		}
 		d.wakeAt(r, now+max(d.minAim/beats/2, d.set.Quantum))
@@ -156,7 +152,7 @@
 // cut takes a connection that ended under a call: cut while others are answered, the process lives.
 func (d *Dispatcher) cut(now int64, w *worker, res Result) {
 	if res == Reset && now-w.lastAnswer < d.minAim {
-		d.blame(now, w, faultStep)
+		d.blame(now, w, faultStep/4)
 		return
 	}
 	d.unbelieve(w)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1137,6 +1137,10 @@
 			t.Fatal("the holder was not taken")
 		}
 		d.Outcome(lately+5*ms, Outcome{ID: "b", Worker: w.Worker, Result: Reset})
+		if !ejected { // a second one in a row: where connections are cut everywhere, that is chance
+			d.Request(lately+6*ms, call("c", lately+6*ms, 1))
+			d.Outcome(lately+9*ms, Outcome{ID: "c", Worker: w.Worker, Result: Reset})
+		}
 		if w.sick != ejected || (w.holds[0].until == 0) != ejected {
 			t.Errorf("last answer %d ms ago: ejected %v, beliefs %v", lately/ms, w.sick, w.holds[0].until)
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -448,6 +448,8 @@
 			delete(d.funcs, id)
 		}
 	}
+	// Not all news is told where messages are dear or there are no peers.
+	d.news = slices.DeleteFunc(d.news, func(h *holder) bool { return h.until <= now && h.inflight == 0 && !h.ordered })
 	d.warm = 0
 	for id, w := range d.workers {
 		if w.listed && !d.isCold(now, w) {
