--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,9 +44,11 @@
 	waitHigh    = 0.9   // and from this on all: half of the calls take longer than the mean
 	roomLow     = 0.7   // of the room for open calls: the same two
 	roomHigh    = 0.95
-	queueDevs   = 1.5 // calls out for longer than mean + this many deviations are not counted as queued
-	holdShare   = 0.4 // of a call's time: for so long it waits here for a load, then where the load is
-	waitPrior   = 4   // calls of usual length that weigh against chance in the expected time
+	queueDevs   = 1.5  // calls out for longer than mean + this many deviations are not counted as queued
+	holdShare   = 0.4  // of a call's time: for so long it waits here for a load, then where the load is
+	leastPart   = 0.02 // our part of all answers is taken for no less
+	idleCalls   = 0.8  // calls expected within the keep-alive, below which a copy is not worth its memory
+	waitPrior   = 4    // calls of usual length that weigh against chance in the expected time
 	forever     = int64(math.MaxInt64)
 )
 
@@ -139,6 +141,25 @@
 	return true
 }
 
+// trim has copies unloaded that lie idle for half of their time and that all dispatchers, by our part of the
+// answers, call less than once in it: they cost memory, and loads wait for the room. Harm: a load more.
+func (d *Dispatcher) trim(now int64) {
+	part := 1 / float64(d.set.Siblings)
+	if now-d.digestAt < 2*d.minAim && d.told[served] > 0 {
+		part = min(1, max(d.servedNow(now)*1e9/d.told[served], leastPart))
+	}
+	for _, w := range d.list {
+		for _, h := range d.held(now, w) {
+			calls := h.fn.calls * math.Exp(-float64(now-h.fn.callsAt)/float64(d.keep())) / part
+			idle := h.inflight == 0 && h.until-now < d.set.KeepAlive/2
+			if d.set.Orders && h.sure && idle && calls < idleCalls {
+				d.host.Drop(w.Worker, h.fn.id)
+				h.until = 0
+			}
+		}
+	}
+}
+
 // loadTook learns what a load takes and, by what it should take, how slow the store is.
 func (d *Dispatcher) loadTook(f *function, x float64) {
 	usual := d.loads.mean
@@ -358,15 +379,7 @@
 }
 
 func sameGroup(s Scope, a *attempt, w *worker) bool {
-	switch s {
-	case ScopeAll:
-		return true
-	case ScopeZone:
-		return w.Zone == a.zone
-	case ScopeCell:
-		return w.Cell == a.cell
-	}
-	return false
+	return s == ScopeAll || s == ScopeZone && w.Zone == a.zone || s == ScopeCell && w.Cell == a.cell
 }
 
 func (d *Dispatcher) mayResendAnywhere(now int64, r *request) bool {
@@ -649,12 +662,8 @@
 		}
 	case Full:
 		w.lastAnswer = now
-	case Timeout:
-		if a.due < now && w.lastAnswer < a.sent {
-			d.blame(now, w, faultStep)
-		}
-	case Cancelled:
-		if a.due < now && w.lastAnswer < a.sent && !a.req.done {
+	case Timeout, Cancelled:
+		if a.due < now && w.lastAnswer < a.sent && (o.Result == Timeout || !a.req.done) {
 			d.blame(now, w, faultStep)
 		}
 	case ConnectFailed, Reset:
@@ -690,10 +699,8 @@
 
 // silent: its oldest attempt is overdue and nothing has been heard since that was sent.
 func (d *Dispatcher) silent(now int64, w *worker) bool {
-	if d.silentHere(now, w) {
-		return true
-	}
-	return w.silentAt > 0 && now-w.silentAt < 2*d.minAim && w.lastAnswer < w.silentAt-d.minAim
+	told := w.silentAt > 0 && now-w.silentAt < 2*d.minAim && w.lastAnswer < w.silentAt-d.minAim
+	return told || d.silentHere(now, w)
 }
 
 func (d *Dispatcher) silentHere(now int64, w *worker) bool {
@@ -915,6 +922,7 @@
 	d.tell(now)
 	if now-d.sweptAt > d.set.KeepAlive/beats {
 		d.sweptAt = now
+		d.trim(now)
 		d.sweep(now)
 	}
 	d.beatAt = 0
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -16,6 +16,7 @@
 	sends   []sent
 	answers map[string]string
 	loads   []WorkerID
+	drops   []FuncID
 	cancels int
 	watches int
 	told    []string
@@ -40,7 +41,7 @@
 func (f *fake) Refuse(id string, wait int64)      { f.answers[id] += "refused" }
 func (f *fake) Fail(id string)                    { f.answers[id] += "failed" }
 func (f *fake) Load(w WorkerID, fn FuncID, n int) { f.loads = append(f.loads, w) }
-func (f *fake) Drop(w WorkerID, fn FuncID)        {}
+func (f *fake) Drop(w WorkerID, fn FuncID)        { f.drops = append(f.drops, fn) }
 func (f *fake) Probe(w WorkerID)                  {}
 func (f *fake) Tell(to int, data string) {
 	f.told, f.toldTo = append(f.told, data), append(f.toldTo, to)
@@ -1205,3 +1206,27 @@
 		}
 	}
 }
+
+// Guards memory, which idle copies cost and loads wait for: one that is hardly called goes after half the keep-alive,
+// one that is called now and then stays, and so does one with a call out.
+func TestIdleCopiesAreUnloaded(t *testing.T) {
+	d, f := start(t, settings(Safe, ScopeAll), 3)
+	hear(d, 0)
+	for now := int64(0); now < 3000*ms; now += 500 * ms {
+		for _, fn := range []FuncID{1, 2, 3} {
+			if fn == 1 && now > 0 {
+				continue
+			}
+			id := fmt.Sprint(fn, "-", now)
+			d.Request(now, call(id, now, fn))
+			if fn != 3 {
+				d.Outcome(now+20*ms, ok(id, f.last[id]))
+			}
+		}
+		awake(d, f, now+20*ms, now+480*ms)
+	}
+	awake(d, f, 3000*ms, 7900*ms)
+	if fmt.Sprint(f.drops) != "[1]" {
+		t.Errorf("unloaded %v", f.drops)
+	}
+}
