Bound a call's head and body within the 3 s owed, and refuse repeated fields

Seen by reading: a head may take 2 s and its body 2 s more, 4 s in all where 3 s are owed; Header.Get takes the first of two ids. Both time limits now lie within 3 s together, and a call in which a field stands twice is a 400. Tests for figures out of range and for the one SIGHUP that does both reloads.

--- a/cmd/oakthread/main_test.go
+++ b/cmd/oakthread/main_test.go
@@ -23,6 +23,8 @@
 	standardwebhooks "github.com/standard-webhooks/standard-webhooks/libraries/go"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"oakthread/internal/platform"
 )
 
 const settings = `{"categories":[{"name":"path-check","aim_ns":400000000,"give_up_ns":5000000000,"credit":1,"idempotency":"read_like"}],
@@ -169,6 +171,28 @@
 	require.NoError(t, cmd.Wait())
 }
 
+// Guards the one signal for both: the configuration is read, and the webhook front is asked to read its keys, also where
+// it has yet to answer an earlier signal.
+func TestReloadDoesBoth(t *testing.T) {
+	getenv := environ(t, `{"listen":"127.0.0.1:1","channel":"127.0.0.1:2","settings":`+settings+`}`)
+	cfg, err := platform.Load(getenv)
+	require.NoError(t, err)
+	hup, keys, log := make(chan os.Signal), make(chan time.Time, 1), make(lines, 8)
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		reload(ctx, hup, getenv, cfg.Channel, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, slog.New(slog.NewTextHandler(log, nil)))
+	}()
+	for range 2 {
+		hup <- syscall.SIGHUP
+		assert.Contains(t, <-log, "configuration reloaded")
+	}
+	assert.Len(t, keys, 1)
+	end()
+	<-done
+}
+
 type lines chan string
 
 func (l lines) Write(b []byte) (int, error) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -25,13 +25,14 @@
 const (
 	maxBody     = 16 << 10
 	maxPatience = time.Hour
-	wayBack     = 200 * time.Millisecond // kept back of a client's patience for the answer's way, at most
-	wayBackPart = 0.2                    // and at most this part of it
-	idleClients = 5 * time.Second        // clients close after 4 s; the rest are dead
-	headerTime  = 2 * time.Second        // from connecting to a whole head: a client owed a refusal waits 3 s
-	bodyTime    = 2 * time.Second        // from the head to a whole body; a head that took long has said little
-	mostLanes   = 1 << 10                // figures beyond these are no model's
-	mostMemory  = 1 << 24                // MB
+	wayBack     = 200 * time.Millisecond  // kept back of a client's patience for the answer's way, at most
+	wayBackPart = 0.2                     // and at most this part of it
+	idleClients = 5 * time.Second         // clients close after 4 s; the rest are dead
+	headerTime  = 1500 * time.Millisecond // from connecting to a whole head
+	bodyTime    = 1200 * time.Millisecond // from there to a whole body: both lie within answerOwed
+	answerOwed  = 3 * time.Second         // by then a client that never sends a whole call is owed its refusal or close
+	mostLanes   = 1 << 10                 // figures beyond these are no model's
+	mostMemory  = 1 << 24                 // MB
 	mostLoad    = time.Hour
 )
 
@@ -148,6 +149,11 @@
 }
 
 func (f *Front) head(key string, h http.Header, now time.Time) (q oakthread.Request, err error) {
+	for _, name := range [...]string{"X-Call-Id", "X-Class", "X-Customer", "X-Patience-Ms", "X-Extras"} {
+		if len(h[name]) > 1 { // which of them counts is anyone's guess
+			return q, fmt.Errorf("%s stands there %d times", name, len(h[name]))
+		}
+	}
 	n, err := hex16(key)
 	if err != nil {
 		return q, fmt.Errorf("function %q: want 16 hex digits", key)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -67,6 +67,11 @@
 		"odd extras":       {"X-Extras", "lanes:two", true},
 		"infinite extras":  {"X-Extras", "lanes:Inf", true},
 		"other extras":     {"X-Extras", "colour:3;", false},
+		"no lanes":         {"X-Extras", "lanes:0", true},
+		"absurd lanes":     {"X-Extras", "lanes:1000000", true},
+		"absurd memory":    {"X-Extras", "memory_mb:1e300", true},
+		"absurd load":      {"X-Extras", "load_ms:1e15", true},
+		"absurd patience":  {"X-Patience-Ms", "1e15", true},
 	} {
 		h := http.Header{"X-Class": {"path-book"}, "X-Call-Id": {"9b1f03aa5c7e2d41"}, "X-Patience-Ms": {"1500"},
 			"X-Customer": {"ironbridge-haul"}, "X-Extras": {"memory_mb:512;lanes:2;load_ms:640"}}
@@ -82,6 +87,10 @@
 	}
 	_, err := f.head("no-function", http.Header{}, time.Now())
 	assert.Error(t, err)
+	_, err = f.head("7F3a9c21e0b4d655", http.Header{"X-Class": {"path-book"}, "X-Patience-Ms": {"1500"},
+		"X-Call-Id": {"9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"}}, time.Now())
+	assert.ErrorContains(t, err, "2 times")
+	assert.Less(t, headerTime+bodyTime, answerOwed, "a head that comes late and a body that never does")
 }
 
 func TestConfigAndEvents(t *testing.T) {
