Write nothing behind an answer whose end is not seen

Seen: while taking guards out to see their tests fail, the one on bytes behind an answer survived, by timing; its direct test then showed that after a chunked answer a connection still took the next request, and a copy behind it would have been read as that one's answer (begin in fleet.go let any write pass while an answer was open). Such a connection is now closed once its answer has been read, and takes no write before.

--- a/internal/platform/conns_test.go
+++ b/internal/platform/conns_test.go
@@ -122,6 +122,84 @@
 	require.NoError(t, <-done)
 }
 
+// Guards the choice of who gives way, without a server's time limits: a full house lets a new connection in at once, and
+// the one closed is the longest quiet of those without a call in hand.
+func TestWhoGivesWay(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	g := newGuard(ln, 2)
+	accept := func() *gate {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		in, err := g.Accept()
+		require.NoError(t, err)
+		return in.(*gate)
+	}
+	first, second := accept(), accept()
+	require.True(t, g.take(first))
+	third := accept()
+	assert.False(t, first.gone, "one with a call in hand gave way")
+	assert.True(t, second.gone)
+	assert.False(t, g.take(second), "a call was taken on a connection that had given way")
+	g.state(first, http.StateIdle)
+	first.since = first.since.Add(-time.Hour)
+	accept()
+	assert.True(t, first.gone)
+	assert.False(t, third.gone)
+	assert.Len(t, g.gates, 2)
+}
+
+// script is a connection that brings its bytes in one piece and keeps what is written.
+type script struct {
+	net.Conn
+	brings, got []byte
+}
+
+func (s *script) Read(b []byte) (int, error) {
+	n := copy(b, s.brings)
+	s.brings = s.brings[n:]
+	return n, nil
+}
+
+func (s *script) Write(b []byte) (int, error) {
+	s.got = append(s.got, b...)
+	return len(b), nil
+}
+
+// Guards the next request, whenever http.Transport looks: of bytes behind an answer none is handed on, and nothing more
+// is written on their connection.
+func TestUnaskedBytesEndAConnection(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+	for name, c := range map[string]struct {
+		brings string
+		again  error
+	}{
+		"alone":       {answer, nil},
+		"second copy": {answer + answer, errUnasked},
+		"noise":       {answer + "~", errUnasked},
+		"no bounds":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", errUnasked},
+	} {
+		s := &script{brings: []byte(c.brings)}
+		k := &conn{Conn: s, framer: framer{answers: true}}
+		_, err := k.Write([]byte("GET"))
+		require.NoError(t, err)
+		b := make([]byte, 4096)
+		n, err := k.Read(b)
+		require.NoError(t, err)
+		if name != "no bounds" {
+			assert.Equal(t, answer, string(b[:n]), name)
+		}
+		_, err = k.Write([]byte("GET"))
+		assert.Equal(t, c.again, err, name)
+		if c.again != nil {
+			assert.Equal(t, "GET", string(s.got), name)
+		}
+		assert.Equal(t, name != "alone", k.tainted, name)
+	}
+}
+
 // raw is an executor that gives its answers as they are, one for each request that is read whole.
 func raw(t *testing.T, answers ...string) (m string, seen func() int) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -170,6 +248,7 @@
 		"3 GB":             {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<16), decide.Reset},
 		"two lengths":      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", decide.Reset},
 		"no length":        {"HTTP/1.1 200 OK\r\n\r\none", decide.Reset},
+		"chunks, a copy":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n" + ok("one"), decide.OK},
 		"noise alone":      {"\x00\xff~\r\n\r\n", decide.Reset},
 		"101":              {"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\none", decide.Reset},
 	} {
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -189,7 +189,6 @@
 	waiting bool      // a request was begun, and its answer has not ended
 	quiet   time.Time // when the last answer ended
 	tainted bool
-	broken  error // why the answer cannot be read
 }
 
 func (c *conn) idle() time.Duration {
@@ -201,6 +200,13 @@
 	return time.Since(c.quiet)
 }
 
+// spent tells that the connection must carry no further request.
+func (c *conn) spent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tainted
+}
+
 func (c *conn) Write(b []byte) (int, error) {
 	if !c.begin() {
 		return 0, errUnasked
@@ -216,8 +222,8 @@
 func (c *conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting {
-		return true
+	if c.waiting { // the rest of a request; after an answer whose end is not seen here, another one
+		return !c.tainted
 	}
 	if rest := settle - time.Since(c.quiet); rest > 0 && c.framer.lines > 0 {
 		c.mu.Unlock()
@@ -248,7 +254,7 @@
 	used := c.framer.feed(b[:n])
 	switch {
 	case c.framer.odd:
-		c.tainted, c.broken = true, errNoLength
+		c.tainted = true
 		return 0, errNoLength
 	case c.framer.ended:
 		c.waiting, c.quiet = false, time.Now()
@@ -297,6 +303,9 @@
 		if err == nil {
 			got, err = f.body(resp)
 			resp.Body.Close()
+			if c != nil && c.spent() {
+				_ = c.Close()
+			}
 			return resp, got, false, err
 		}
 		if c != nil {
