A call that waits for a load is no lost answer

Ruled out: refused connections (none) and ejections (none).

At fault: judge() took an attempt that ran out for lost if its worker had answered anything since; a copy pushed out, or told by a peer while it loads, looks so. The more looked lost, the sooner copies went out (overdueDevs), each another load at the slow store. send() gave a copy told by a peer no time to load.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -185,7 +185,7 @@
 	h := r.fn.at(w, true)
 	st := d.stats[r.Class]
 	due := st.mean + d.overdueDevs()*st.dev
-	if h.until <= now {
+	if h.until <= now || !h.sure { // what only a peer told of may be loading yet
 		due += d.loadTime(r.fn) + d.overdueDevs()*d.loads.dev
 	}
 	a := &attempt{req: r, w: w, h: h, sent: now, due: now + int64(due), zone: w.Zone, cell: w.Cell,
@@ -616,7 +616,8 @@
 		w.ghosts = append(w.ghosts[:0:0], w.ghosts...)
 		w.ghosts = append(w.ghosts, ghost{now + int64(st.mean), o.Result == Full})
 	}
-	if (o.Result == Timeout || o.Result == Cancelled) && a.warm && now > a.due && w.lastAnswer > a.sent {
+	// Lost, if the copy answered others meanwhile: one that was pushed out is loading.
+	if (o.Result == Timeout || o.Result == Cancelled) && a.warm && now > a.due && h.hitAt > a.sent {
 		d.missed(d.gone(now, a))
 	}
 	switch o.Result {
@@ -647,6 +648,7 @@
 			}
 		default:
 			st.add(age, learnTime)
+			h.hitAt = now
 		}
 		d.believe(now, h)
 	case Error, Miss:
@@ -789,14 +791,11 @@
 			own += w
 		}
 	}
-	if over {
-		below, own = 0, d.over
-	}
-	rank := (below + d.rng.Float64()*own) / max(all, 1)
 	aim := d.aim()
 	if over {
-		aim = float64(d.minAim)
+		below, own, aim = 0, d.over, float64(d.minAim)
 	}
+	rank := (below + d.rng.Float64()*own) / max(all, 1)
 	// Room for open calls is like time: once it is full, calls are turned away whatever their worth.
 	late := d.wait(now) > aim*(waitLow+(waitHigh-waitLow)*rank)
 	room := float64(d.set.MaxOpen) * (roomLow + (roomHigh-roomLow)*rank)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1233,3 +1233,44 @@
 		t.Errorf("unloaded %v", f.drops)
 	}
 }
+
+// Guards against loads that pass for lost answers. A copy that only a peer told of may be loading, and one believed to
+// stand may have been pushed out; either way the worker answers others. Taken for lost, such calls would bring copies
+// of themselves ever sooner, and these more loads. An answer is lost where the copy answered others meanwhile.
+func TestLoadsAreNoLostAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		told, hit, lost bool
+	}{
+		"the copy answered others": {hit: true, lost: true},
+		"another function's did":   {},
+		"a peer told of the copy":  {told: true},
+	} {
+		s := settings(Safe, ScopeAll)
+		s.LoadsOnMiss = false // nothing is held for an order
+		d, f := start(t, s, 1)
+		hear(d, 0)
+		for i, fn := range []FuncID{1, 2} {
+			id := fmt.Sprint("a", i)
+			d.Request(0, call(id, 0, fn))
+			d.Outcome(10*ms, ok(id, f.last[id]))
+		}
+		h := d.funcs[1].holders[0]
+		h.sure = !c.told
+		d.Request(20*ms, call("x", 20*ms, 1))
+		if a := d.reqs["x"].tries[0]; c.told != (a.due-a.sent > 1000*ms) {
+			t.Errorf("%s: due after %d ms", name, (a.due-a.sent)/ms)
+		}
+		other := FuncID(2)
+		if c.hit {
+			other = 1
+		}
+		d.Request(30*ms, call("y", 30*ms, other))
+		d.Outcome(40*ms, ok("y", f.last["y"]))
+		awake(d, f, 60*ms, 2900*ms)
+		before := d.lost
+		d.Outcome(2900*ms, Outcome{ID: "x", Worker: 1, Result: Timeout, Finished: true})
+		if (d.lost > before) != c.lost {
+			t.Errorf("%s: share of lost answers %v, before %v", name, d.lost, before)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -201,6 +201,7 @@
 	orderedAt int64
 	ordered   bool  // an order is under way
 	sure      bool  // an answer of its own told us so; else a peer did
+	hitAt     int64 // when a call last found a copy loaded
 	noOrder   int64 // an order has failed: none before this time
 	told      int64
 }
