Ask for a lost answer again where it was lost, while it can come in time

Ruled out: silence of the worker (it answered), loads (the copy stood), sockets and ejections (none).

At fault: overdue() sends a second copy to another worker than the first alone; where one worker holds the function the choice is that one again, and nothing was sent to the end. So no copy goes out any more once it can only come late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -230,13 +230,16 @@
 			d.wakeAt(r, slow)
 			return
 		}
-		if d.hedges < 1 {
+		if d.hedges < 1 || float64(r.arrived+r.class.Aim-now) < st.mean { // late, it earns too little
 			d.wakeAt(r, now+d.minAim/beats)
 			return
 		}
 	}
 	w, _ := d.choose(now, r)
-	if w == nil || w == last.w {
+	lost := !silent && last.h.hitAt > last.sent && d.mayResend(now, r, last.w) && d.eligible(now, last.w)
+	if lost && (w == last.w || !r.fn.stands(now, w)) {
+		w = last.w // its copy answered others meanwhile; elsewhere the call would wait for one
+	} else if w == nil || w == last.w {
 		d.wakeAt(r, now+d.minAim/beats)
 		return
 	}
@@ -651,20 +654,18 @@
 			h.hitAt = now
 		}
 		d.believe(now, h)
-	case Error, Miss:
+	case Error, Miss, Full:
 		w.lastAnswer = now
 		if o.Warmth == LoadFailed {
 			d.stress += learn * (stressMax/2 - d.stress)
 			h.until = 0
 		} else if o.Result == Miss {
 			h.until = 0
-		} else if h.fn.served {
+		} else if o.Result == Error && h.fn.served {
 			d.blame(now, w, faultStep)
-		} else { // it may be a function that no worker knows
+		} else if o.Result == Error { // it may be a function that no worker knows
 			d.blame(now, w, faultStep/4)
 		}
-	case Full:
-		w.lastAnswer = now
 	case Timeout, Cancelled:
 		if a.due < now && w.lastAnswer < a.sent && (o.Result == Timeout || !a.req.done) {
 			d.blame(now, w, faultStep)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1274,3 +1274,43 @@
 		}
 	}
 }
+
+// Guards against calls that wait to their end for an answer that is lost, where one worker alone holds the copy: the
+// same is asked again. Not before the copy has answered others, nor once a copy of the call cannot come in time.
+func TestLostAnswerIsAskedForAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		aim   int64
+		other FuncID
+		sends int
+	}{
+		"the copy answers others": {1500 * ms, 1, 2},
+		"another copy does":       {1500 * ms, 2, 1},
+		"too late to be in time":  {700 * ms, 1, 1},
+	} {
+		s := settings(Safe, ScopeAll)
+		d, f := start(t, s, 1)
+		hear(d, 0)
+		d.set.Classes[0].Aim = c.aim // learned times stay
+		for i, fn := range []FuncID{1, 2} {
+			id := fmt.Sprint("a", i)
+			d.Request(0, call(id, 0, fn))
+			d.Outcome(10*ms, ok(id, f.last[id]))
+		}
+		d.Request(20*ms, call("x", 20*ms, 1))
+		for i := range 140 {
+			now, id := int64(30+20*i)*ms, fmt.Sprint("y", i)
+			d.Timer(now, f.ref)
+			d.Request(now, call(id, now, c.other))
+			d.Outcome(now+5*ms, ok(id, f.last[id]))
+		}
+		n := 0
+		for _, x := range f.sends {
+			if x.id == "x" {
+				n++
+			}
+		}
+		if n != c.sends {
+			t.Errorf("%s: sent %d times", name, n)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -253,6 +253,12 @@
 	return h
 }
 
+// stands tells whether w is known, by an answer of its own, to hold a copy; w may be nil.
+func (f *function) stands(now int64, w *worker) bool {
+	h := f.at(w, false)
+	return h != nil && h.until > now && h.sure
+}
+
 func since(ts []int64, from int64) []int64 {
 	for len(ts) > 0 && ts[0] < from {
 		ts = ts[1:]
