End webhook messages that never come whole

Seen: reading the front's server against the working rules of the platform's front: a head had 5 s there, a body no end. Checked by a test: a message of which half is written keeps its connection until the test is cut off. 256 such connections leave every sender waiting (netutil.LimitListener in front.go). At fault: Receiver.ServeHTTP read the body with no deadline; the server has none for bodies either. Now a message has 5 s; one that takes longer is a 408 and ends its connection. The time of the call is not touched: the deadline is lifted once the message is whole.

--- a/webhook/receive.go
+++ b/webhook/receive.go
@@ -18,6 +18,7 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +64,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
+	slowest time.Duration // that a message may take to come
 
 	locks [64]sync.Mutex // by message: a receipt and its run change together
 	mu    sync.Mutex
@@ -82,12 +84,13 @@
 	maxCall    = 16 << 10
 	comeBack   = time.Minute
 	answerTime = 5 * time.Second // beyond a call's own time
+	bodyTime   = 5 * time.Second
 )
 
 // NewReceiver makes the front. Without a store it refuses every class that must not run twice.
 func NewReceiver(core Doer, o *Options, ring *Ring, store *Store, notices *Sender, classes []Class, tenants []string, log *slog.Logger) (*Receiver, error) {
 	rc := &Receiver{core: core, ring: ring, store: store, classes: classes, allowed: map[string]int{},
-		tenants: map[string]int{}, keep: o.Keep.Duration, notices: notices, log: log, runs: map[string]*run{}}
+		tenants: map[string]int{}, keep: o.Keep.Duration, notices: notices, log: log, runs: map[string]*run{}, slowest: bodyTime}
 	rc.ctx, rc.cancel = context.WithCancel(context.Background())
 	for i, c := range classes {
 		if len(o.Classes) == 0 {
@@ -160,6 +163,9 @@
 		http.Error(w, "messages are POSTed", http.StatusMethodNotAllowed)
 		return
 	}
+	// Against bodies that never end: each holds one of the front's connections.
+	reads := http.NewResponseController(w)
+	_ = reads.SetReadDeadline(time.Now().Add(rc.slowest))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
 	var long *http.MaxBytesError
 	if errors.As(err, &long) {
@@ -167,9 +173,16 @@
 		http.Error(w, "message is too long", http.StatusRequestEntityTooLarge)
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		rc.malformed.Add(1)
+		w.Header().Set("Connection", "close")
+		http.Error(w, "message took too long to come", http.StatusRequestTimeout)
+		return
+	}
 	if err != nil {
 		return // the sender left
 	}
+	_ = reads.SetReadDeadline(time.Time{})
 	m, err := rc.ring.verify(r.Header, body)
 	if err != nil {
 		rc.unsigned.Add(1)
--- a/webhook/webhook_test.go
+++ b/webhook/webhook_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -459,3 +460,20 @@
 		assert.True(t, b > 0 && b <= d.o.RetryMax.Duration, b)
 	}
 }
+
+// Guards the front's connections against messages that never come whole: they end with a 408.
+func TestSlowMessagesEnd(t *testing.T) {
+	d := newDaemon(t, "")
+	d.rc.slowest = 20 * time.Millisecond
+	srv := httptest.NewServer(d.rc)
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	require.NoError(t, err)
+	got, err := io.ReadAll(c)
+	require.NoError(t, err, "the connection ends")
+	assert.Contains(t, string(got), "HTTP/1.1 408 ")
+	assert.Equal(t, int64(1), d.rc.Counters().Malformed)
+}
