--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1314,3 +1314,25 @@
 		}
 	}
 }
+
+// Guards against an order that was cut off, or never written, passing for a worker without room: its calls would be
+// sent to wait there, or load elsewhere. It is given again, within the ration; after a no the call is sent.
+func TestOrdersCutOffAreGivenAgain(t *testing.T) {
+	for res, orders := range map[Result]int{Reset: 3, Moot: 3, Full: 1, Error: 1} {
+		s := settings(Safe, ScopeAll)
+		s.LoadWindow, s.LoadFree = 5000*ms, 3
+		d, f := start(t, s, 1)
+		hear(d, 0)
+		d.Request(0, call("a", 0, 1))
+		d.Outcome(10*ms, ok("a", 1))
+		now := 9000 * ms // the belief has lapsed
+		awake(d, f, 20*ms, now)
+		d.Request(now, call("b", now, 1))
+		for i := range int64(4) {
+			d.Loaded(now+i*ms, 1, 1, 0, res)
+		}
+		if len(f.loads) != orders || len(f.sends) != 2 {
+			t.Errorf("order ended with %d: %d orders, %d sends", res, len(f.loads), len(f.sends))
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -707,7 +707,7 @@
 			}
 			d.believe(now, h)
 			h.copies = copies
-		} else if res != Reset { // an order cut off may be given again: it asks for what may stand already
+		} else if res != Reset && res != Moot { // cut off or never written tells nothing of room: it is given again
 			h.noOrder = now + d.minAim
 		}
 	}
