Open every socket with SO_REUSEPORT so a new version can listen beside the old

Every listener was a plain net.Listen, which fails with EADDRINUSE while the old process holds the port; that is the only exit 1 after the configuration has been read.

Way taken: one ListenConfig with SO_REUSEPORT for TCP and UDP, used by the client front, HTTP/2, webhooks and peers.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -95,7 +94,7 @@
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
 	defer core.Close()
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := platform.Listen(ctx, cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
@@ -134,7 +133,7 @@
 	if streams == nil {
 		streamed <- nil
 	} else {
-		ln, err := net.Listen("tcp", streams.Listen)
+		ln, err := platform.Listen(ctx, streams.Listen)
 		if err != nil {
 			return fmt.Errorf("http2: %w", err)
 		}
@@ -197,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", o.Listen)
+	ln, err := platform.Listen(ctx, o.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("webhooks: %w", err)
 	}
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -263,7 +263,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	conn, err := ListenPacket(context.Background(), a.String())
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
--- /dev/null
+++ b/internal/platform/listen.go
@@ -0,0 +1,45 @@
+package platform
+
+// This file owns how the dispatcher's sockets are opened: with SO_REUSEPORT, so that a new version can listen on
+// the same addresses beside the old one during a handover. It must never take a socket that another user of the
+// machine holds: the kernel lets only sockets of the same user share a port.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Listen opens a TCP listener on addr that a second process of the same user may open as well. Errors name the
+// address.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	ln, err := shared.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return ln, nil
+}
+
+// ListenPacket opens a UDP socket on addr, shared in the same way.
+func ListenPacket(ctx context.Context, addr string) (*net.UDPConn, error) {
+	pc, err := shared.ListenPacket(ctx, "udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return pc.(*net.UDPConn), nil
+}
+
+var shared = net.ListenConfig{Control: reusePort}
+
+func reusePort(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); e != nil {
+		return e
+	}
+	return err
+}
