--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,10 +11,12 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"oakthread"
 	"oakthread/decide"
+	"oakthread/internal/console"
 	"oakthread/internal/h2"
 	"oakthread/internal/kept"
 	"oakthread/internal/opfile"
@@ -84,9 +86,22 @@
 		}
 	}
 	var core *oakthread.Core
+	var front *platform.Front
+	var reloads reloaded
+	desk := console.New(console.Sources{
+		CoreReady: func() bool { return core.Ready() },
+		Tell:      func(r oakthread.Roster) { core.Roster(r) },
+		Figures:   func(ctx context.Context) console.Figures { return figures(ctx, core, front, &reloads) },
+		Tally: func(fn func(string, int64, int64, int64)) {
+			front.Tally(func(class string, o *platform.Outcomes) {
+				fn(class, o.Completed.Load(), o.Rejected.Load(), o.Failed.Load())
+			})
+		},
+		Quiet: func(on bool) { front.Quiet(on) },
+	}, console.BanFile(os.TempDir(), cfg.Listen), platform.WorkerID, log)
 	var keeper *kept.Keeper
 	if o.File != nil && o.File.List != nil {
-		keeper = keep(o, cfg, fleet, func(r oakthread.Roster) { core.Roster(r) }, log)
+		keeper = keep(o, cfg, fleet, desk.Listed, log)
 		parts.Admit, parts.Observed = keeper.Admit, keeper.Observe
 	}
 	core, err = oakthread.New(parts)
@@ -114,7 +129,7 @@
 		defer func() { done(); <-written }()
 		go func() { _ = channel.Follow(beside, keeper) }()
 	} else {
-		go func() { _ = oakthread.Membership(channel).Watch(beside, core.Roster) }()
+		go func() { _ = oakthread.Membership(channel).Watch(beside, desk.Listed) }()
 	}
 	if peers != nil {
 		go func() { _ = peers.Listen(beside, core.Heard) }()
@@ -125,8 +140,21 @@
 	} else if hooks, err = serveHooks(ctx, o.Webhooks, cfg, core, keys, ended, log); err != nil {
 		return err
 	}
-	go reload(beside, hup, getenv, cfg.Channel, channel, keys, log)
-	front := platform.NewFront(core, cfg.Setup)
+	go reload(beside, hup, getenv, cfg.Channel, channel, keys, &reloads, log)
+	front = platform.NewFront(core, cfg.Setup)
+	front.Gate = desk.Ready
+	if cfg.Console != "" {
+		cl, err := platform.Listen(ctx, cfg.Console)
+		if err != nil {
+			return fmt.Errorf("configuration: console: %w", err)
+		}
+		log.Info("console: serving", "listen", cfg.Console)
+		go func() {
+			if err := desk.Serve(beside, cl); err != nil {
+				log.Error("console: ended", "err", err)
+			}
+		}()
+	}
 	go count(beside, core, front, log)
 
 	streamed := make(chan error, 1)
@@ -212,7 +240,7 @@
 
 // reload reads the configuration anew at each signal and moves the command channel where its address has changed; the
 // webhook front reads its keys. A file that cannot be used changes nothing. Guards against an end by SIGHUP.
-func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, at string, channel *platform.Channel, keys chan<- time.Time, log *slog.Logger) {
+func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, at string, channel *platform.Channel, keys chan<- time.Time, n *reloaded, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,9 +253,11 @@
 		}
 		cfg, err := platform.Load(getenv)
 		if err != nil {
+			n.fails.Add(1)
 			log.Error("configuration not reloaded, the old one stays", "err", err)
 			continue
 		}
+		n.taken.Add(1)
 		log.Info("configuration reloaded", "channel", cfg.Channel)
 		if cfg.Channel != at {
 			at = cfg.Channel
@@ -236,6 +266,24 @@
 	}
 }
 
+// reloaded counts the files taken and turned down at SIGHUP.
+type reloaded struct{ taken, fails atomic.Int64 }
+
+// figures gathers what the console tells beside the classes; the core's part waits no longer than ctx.
+func figures(ctx context.Context, core *oakthread.Core, front *platform.Front, r *reloaded) console.Figures {
+	f := console.Figures{Pending: front.Pending(), Reloads: r.taken.Load(), Fails: r.fails.Load()}
+	got := make(chan oakthread.Counters, 1)
+	go func() { got <- core.Counters() }()
+	select {
+	case n := <-got:
+		// Attempts that were never written whole: refused connections and those over before they began.
+		f.Attempts = n.Attempts - n.Ends[decide.Moot] - n.Ends[decide.ConnectFailed]
+	case <-ctx.Done():
+		f.Stale = true
+	}
+	return f
+}
+
 // limits fits the run time to the machine.
 func limits(cfg *platform.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -22,7 +22,12 @@
 func TestReloadDoesBoth(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(`{"listen":"127.0.0.1:1","channel":"127.0.0.1:2","settings":{"categories":[{"name":"a","aim_ns":1}]}}`), 0o600))
-	getenv := func(string) string { return path }
+	getenv := func(k string) string {
+		if k == "ROUTER_CONFIG" {
+			return path
+		}
+		return ""
+	}
 	cfg, err := platform.Load(getenv)
 	require.NoError(t, err)
 	hup, keys := make(chan os.Signal), make(chan time.Time, 1)
@@ -30,9 +35,10 @@
 	said := bufio.NewScanner(log)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan bool)
+	var n reloaded
 	go func() {
 		defer close(done)
-		reload(ctx, hup, getenv, cfg.Channel, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, slog.New(slog.NewTextHandler(end, nil)))
+		reload(ctx, hup, getenv, cfg.Channel, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, &n, slog.New(slog.NewTextHandler(end, nil)))
 	}()
 	for range 2 {
 		hup <- syscall.SIGHUP
@@ -40,6 +46,12 @@
 		assert.Contains(t, said.Text(), "configuration reloaded")
 	}
 	assert.Len(t, keys, 1)
+	require.NoError(t, os.WriteFile(path, nil, 0o600)) // an empty file is turned down and counted
+	hup <- syscall.SIGHUP
+	require.True(t, said.Scan())
+	assert.Contains(t, said.Text(), "configuration not reloaded")
 	stop()
 	<-done
+	assert.Equal(t, int64(2), n.taken.Load())
+	assert.Equal(t, int64(1), n.fails.Load())
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -34,6 +34,7 @@
 	Peers      []netip.AddrPort // by number
 	PeersAll   netip.AddrPort
 	Channel    string
+	Console    string // where the operators' console listens; "" for none
 	Known      []Event
 	Cursor     int64
 	Setup      *wire.Setup
@@ -61,6 +62,14 @@
 	if c.Listen == "" {
 		c.Listen = getenv("ROUTER_LISTEN")
 	}
+	if c.Console == "" {
+		c.Console = getenv("ROUTER_CONSOLE")
+	}
+	if c.Console != "" {
+		if _, _, err := net.SplitHostPort(c.Console); err != nil {
+			return nil, fmt.Errorf("configuration: console: %w", err)
+		}
+	}
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("configuration: listen: %w", err)
 	}
@@ -81,6 +90,7 @@
 		Peers      []string `json:"peers"`
 		PeersAll   string   `json:"peers_all"`
 		Channel    string   `json:"channel"`
+		Console    string   `json:"console"`
 		Known      struct {
 			Cursor int64             `json:"cursor"`
 			Cmds   []json.RawMessage `json:"cmds"`
@@ -91,7 +101,7 @@
 		return nil, err
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Cores: f.Limits.Cores, Sockets: f.Limits.Sockets,
-		Memory: int64(f.Limits.MemoryMB * (1 << 20)), PeerListen: f.PeerListen, Channel: f.Channel,
+		Memory: int64(f.Limits.MemoryMB * (1 << 20)), PeerListen: f.PeerListen, Channel: f.Channel, Console: f.Console,
 		Cursor: f.Known.Cursor}
 	if c.Sockets <= 0 {
 		c.Sockets = defaultSockets
@@ -189,7 +199,7 @@
 		if m.ID == "" {
 			return Event{}, fmt.Errorf("members[%d]: field id is missing", i)
 		}
-		e := oakthread.Member{ID: workerID(m.ID), Addr: m.HostPort, Zone: place(s.Zones, m.Locality),
+		e := oakthread.Member{ID: WorkerID(m.ID), Addr: m.HostPort, Zone: place(s.Zones, m.Locality),
 			Kind: place(s.Kinds, m.Flavor), Cell: m.Cell, Weight: m.Size}
 		switch m.Phase {
 		case "Ready":
@@ -214,8 +224,8 @@
 	return ev, nil
 }
 
-// workerID is the number behind an id such as s-00c41f7a, the same at every dispatcher; a hash for other forms.
-func workerID(id string) decide.WorkerID {
+// WorkerID is the number behind an id such as s-00c41f7a, the same at every dispatcher; a hash for other forms.
+func WorkerID(id string) decide.WorkerID {
 	if _, hex, ok := strings.Cut(id, "-"); ok && len(hex) == 8 {
 		if n, err := strconv.ParseUint(hex, 16, 32); err == nil {
 			return decide.WorkerID(n)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,46 @@
 	latest   atomic.Int64 // Unix milliseconds of the latest deadline taken
 	draining atomic.Bool
 	mux      *http.ServeMux
+	tally    sync.Map // class name → *Outcomes
+	srv      atomic.Pointer[http.Server]
+
+	// Gate, where set before Serve, has the front say no to readiness while it returns false.
+	Gate func() bool
+}
+
+// Outcomes counts the answers of one class: served (200), refused (429, 503) and failed (any other).
+type Outcomes struct{ Completed, Rejected, Failed atomic.Int64 }
+
+// Tally calls fn for each class that has had an answer, by the name the client gave.
+func (f *Front) Tally(fn func(class string, o *Outcomes)) {
+	f.tally.Range(func(k, v any) bool { fn(k.(string), v.(*Outcomes)); return true })
+}
+
+// Pending is the number of calls taken and not yet answered.
+func (f *Front) Pending() int64 { return f.open.Load() }
+
+// Quiet, on, closes idle connections of clients and ends each other one after its answer; off, keeps them again.
+// It takes effect once Serve runs.
+func (f *Front) Quiet(on bool) {
+	if srv := f.srv.Load(); srv != nil {
+		srv.SetKeepAlivesEnabled(!on)
+	}
+}
+
+func (f *Front) count(class string, status int) {
+	v, ok := f.tally.Load(class)
+	if !ok {
+		v, _ = f.tally.LoadOrStore(class, new(Outcomes))
+	}
+	o := v.(*Outcomes)
+	switch {
+	case status == http.StatusOK:
+		o.Completed.Add(1)
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		o.Rejected.Add(1)
+	default:
+		o.Failed.Add(1)
+	}
 }
 
 // NewFront makes the front of a Core.
@@ -100,7 +141,7 @@
 
 // ping tells the platform's front that calls may come: not before a list is loaded, nor once we are to end.
 func (f *Front) ping(w http.ResponseWriter, r *http.Request) {
-	if !f.core.Ready() || f.draining.Load() {
+	if !f.core.Ready() || f.draining.Load() || f.Gate != nil && !f.Gate() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -129,6 +170,7 @@
 	}
 	a, err := f.core.Do(r.Context(), q)
 	f.relay(w, a, err)
+	f.count(r.Header.Get("X-Class"), reply.Status(a, err))
 }
 
 // takeIn decodes a call into the Core's value, once.
@@ -217,6 +259,7 @@
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: idleClients, ConnState: held.state,
 		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, gateKey{}, c) },
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	f.srv.Store(srv)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(held) }()
 	select {
--- /dev/null
+++ b/service/desk.go
@@ -0,0 +1,139 @@
+// Package service decides what the operators ask of a running dispatcher: which executors are taken out by hand, and
+// whether the dispatcher is in service. Desk is a state machine: news of the list and the operators' calls come in,
+// and what the core is to be told goes out.
+//
+// It owns no socket, clock, file or goroutine, and never chooses an executor for a call: that stays in decide. A ban
+// only tells the core that an executor drains, which decide already obeys for sends, retries and orders.
+package service
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oakthread"
+	"oakthread/decide"
+)
+
+// Desk is the operators' side of one dispatcher. Its zero value is in service, with no executor listed or banned.
+type Desk struct {
+	listed map[decide.WorkerID]oakthread.Member // as the list tells it, before any ban
+	banned map[decide.WorkerID]bool
+	out    bool
+}
+
+// Listed takes news of the list and returns it as the core is to hear it: a banned executor drains, whatever the list
+// says of it.
+func (d *Desk) Listed(r oakthread.Roster) oakthread.Roster {
+	if d.listed == nil {
+		d.listed = map[decide.WorkerID]oakthread.Member{}
+	}
+	if r.Kind == decide.RosterFull || r.Kind == decide.RosterCached {
+		clear(d.listed)
+	}
+	told := oakthread.Roster{Kind: r.Kind, Members: make([]oakthread.Member, 0, len(r.Members))}
+	for _, m := range r.Members {
+		if m.State == decide.Off {
+			delete(d.listed, m.ID)
+		} else {
+			d.listed[m.ID] = m
+		}
+		told.Members = append(told.Members, d.seen(m))
+	}
+	return told
+}
+
+// seen is a member as the core is to see it.
+func (d *Desk) seen(m oakthread.Member) oakthread.Member {
+	if d.banned[m.ID] && m.State == decide.On {
+		m.State = decide.Draining
+	}
+	return m
+}
+
+// Offline bans an executor until Online. ok is false for an id that is neither listed nor banned: nothing changes.
+// A second Offline changes nothing. news is what the core is to hear; it is empty where the executor is not listed.
+func (d *Desk) Offline(id decide.WorkerID) (news oakthread.Roster, ok bool) {
+	m, listed := d.listed[id]
+	if !listed && !d.banned[id] {
+		return news, false
+	}
+	if d.banned == nil {
+		d.banned = map[decide.WorkerID]bool{}
+	}
+	d.banned[id] = true
+	news.Kind = decide.RosterDelta
+	if listed {
+		news.Members = []oakthread.Member{d.seen(m)}
+	}
+	return news, true
+}
+
+// Online lifts a ban, however many Offline calls came before. The executor was restarted meanwhile: the core hears
+// it as started at now, so that nothing is believed loaded there. ok is false for an id that is neither listed nor
+// banned.
+func (d *Desk) Online(id decide.WorkerID, now time.Time) (news oakthread.Roster, ok bool) {
+	m, listed := d.listed[id]
+	if !listed && !d.banned[id] {
+		return news, false
+	}
+	was := d.banned[id]
+	delete(d.banned, id)
+	news.Kind = decide.RosterDelta
+	if listed && was {
+		m.Start = now
+		d.listed[id] = m
+		news.Members = []oakthread.Member{m}
+	}
+	return news, true
+}
+
+// Restore takes bans kept by an earlier process, such as the version before an upgrade, beside those in force.
+func (d *Desk) Restore(ids []decide.WorkerID) (news oakthread.Roster) {
+	news.Kind = decide.RosterDelta
+	for _, id := range ids {
+		if d.banned[id] {
+			continue
+		}
+		n, _ := d.forceOffline(id)
+		news.Members = append(news.Members, n.Members...)
+	}
+	return news
+}
+
+func (d *Desk) forceOffline(id decide.WorkerID) (oakthread.Roster, bool) {
+	if d.banned == nil {
+		d.banned = map[decide.WorkerID]bool{}
+	}
+	d.banned[id] = true
+	if m, ok := d.listed[id]; ok {
+		return oakthread.Roster{Kind: decide.RosterDelta, Members: []oakthread.Member{d.seen(m)}}, true
+	}
+	return oakthread.Roster{Kind: decide.RosterDelta}, true
+}
+
+// Banned lists the bans in force, in order of id.
+func (d *Desk) Banned() []decide.WorkerID {
+	return slices.Sorted(maps.Keys(d.banned))
+}
+
+// Members counts the listed executors, and those of them that are avoided: banned, or draining by the list.
+func (d *Desk) Members() (listed, unavailable int) {
+	for id, m := range d.listed {
+		listed++
+		if d.banned[id] || m.State != decide.On {
+			unavailable++
+		}
+	}
+	return listed, unavailable
+}
+
+// OutOfService has the dispatcher say no to the front's readiness question until InService.
+func (d *Desk) OutOfService() { d.out = true }
+
+// InService undoes OutOfService.
+func (d *Desk) InService() { d.out = false }
+
+// Ready tells whether the front may send clients: the core has a list, and the operators have not taken the
+// dispatcher out of service.
+func (d *Desk) Ready(coreReady bool) bool { return coreReady && !d.out }
