Turn down a file at SIGHUP that lacks a key or holds a deadline not above 0

The console and bans were ruled out: the executor drained by the list, not by hand. Load parsed the file without asking for the keys that the first one held (daemon.reload, platform.Load).

Change: Config.Fits asks every key of the file at start, and aim, give-up and send_cap above 0; the reload counts it as an error and changes nothing.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,7 +140,7 @@
 	} else if hooks, err = serveHooks(ctx, o.Webhooks, cfg, core, keys, ended, log); err != nil {
 		return err
 	}
-	go reload(beside, hup, getenv, cfg.Channel, channel, keys, &reloads, log)
+	go reload(beside, hup, getenv, cfg, channel, keys, &reloads, log)
 	front = platform.NewFront(core, cfg.Setup)
 	front.Gate = desk.Ready
 	if cfg.Console != "" {
@@ -240,7 +240,8 @@
 
 // reload reads the configuration anew at each signal and moves the command channel where its address has changed; the
 // webhook front reads its keys. A file that cannot be used changes nothing. Guards against an end by SIGHUP.
-func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, at string, channel *platform.Channel, keys chan<- time.Time, n *reloaded, log *slog.Logger) {
+func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, first *platform.Config, channel *platform.Channel, keys chan<- time.Time, n *reloaded, log *slog.Logger) {
+	at := first.Channel
 	for {
 		select {
 		case <-ctx.Done():
@@ -252,9 +253,12 @@
 		default: // it has yet to read them after an earlier signal
 		}
 		cfg, err := platform.Load(getenv)
+		if err == nil {
+			err = cfg.Fits(first)
+		}
 		if err != nil {
 			n.fails.Add(1)
-			log.Error("configuration not reloaded, the old one stays", "err", err)
+			log.Error("configuration not reloaded, the old one stays", "file", getenv("ROUTER_CONFIG"), "err", err)
 			continue
 		}
 		n.taken.Add(1)
@@ -276,8 +280,8 @@
 	go func() { got <- core.Counters() }()
 	select {
 	case n := <-got:
-		// Attempts that were never written whole: refused connections and those over before they began.
-		f.Attempts = n.Attempts - n.Ends[decide.Moot] - n.Ends[decide.ConnectFailed]
+		// Attempts less those whose connection was refused.
+		f.Attempts = n.Attempts - n.Ends[decide.ConnectFailed]
 	case <-ctx.Done():
 		f.Stale = true
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -38,7 +38,7 @@
 	var n reloaded
 	go func() {
 		defer close(done)
-		reload(ctx, hup, getenv, cfg.Channel, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, &n, slog.New(slog.NewTextHandler(end, nil)))
+		reload(ctx, hup, getenv, cfg, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, &n, slog.New(slog.NewTextHandler(end, nil)))
 	}()
 	for range 2 {
 		hup <- syscall.SIGHUP
@@ -46,12 +46,15 @@
 		assert.Contains(t, said.Text(), "configuration reloaded")
 	}
 	assert.Len(t, keys, 1)
-	require.NoError(t, os.WriteFile(path, nil, 0o600)) // an empty file is turned down and counted
-	hup <- syscall.SIGHUP
-	require.True(t, said.Scan())
-	assert.Contains(t, said.Text(), "configuration not reloaded")
+	for _, broken := range []string{"", `{"listen":"127.0.0.1:1","channel":"127.0.0.1:9"}`,
+		`{"listen":"127.0.0.1:1","channel":"127.0.0.1:2","settings":{"categories":[{"name":"a","aim_ns":0}]}}`} {
+		require.NoError(t, os.WriteFile(path, []byte(broken), 0o600)) // turned down and counted
+		hup <- syscall.SIGHUP
+		require.True(t, said.Scan())
+		assert.Contains(t, said.Text(), "configuration not reloaded", broken)
+	}
 	stop()
 	<-done
 	assert.Equal(t, int64(2), n.taken.Load())
-	assert.Equal(t, int64(1), n.fails.Load())
+	assert.Equal(t, int64(3), n.fails.Load())
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -38,6 +38,7 @@
 	Known      []Event
 	Cursor     int64
 	Setup      *wire.Setup
+	shape      []string // the keys that the file held
 }
 
 const defaultSockets = 1024
@@ -102,7 +103,7 @@
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Cores: f.Limits.Cores, Sockets: f.Limits.Sockets,
 		Memory: int64(f.Limits.MemoryMB * (1 << 20)), PeerListen: f.PeerListen, Channel: f.Channel, Console: f.Console,
-		Cursor: f.Known.Cursor}
+		Cursor: f.Known.Cursor, shape: shape(raw)}
 	if c.Sockets <= 0 {
 		c.Sockets = defaultSockets
 	}
