Take classes added, dropped and changed at SIGHUP; requests in hand keep theirs

The module takes the new classes by AddClass and SetMaxAttempts (decide/state.go, not policy: no choice moves); the front swaps its name table atomically.

--- a/core.go
+++ b/core.go
@@ -58,6 +58,7 @@
 	stopped chan struct{}
 	once    sync.Once
 	ready   atomic.Bool
+	classes atomic.Int64 // that requests may name
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -117,6 +118,7 @@
 		return nil, fmt.Errorf("oakthread: %w", err)
 	}
 	c.d = d
+	c.classes.Store(int64(len(cfg.Settings.Classes)))
 	go c.loop()
 	return c, nil
 }
@@ -182,6 +184,34 @@
 	return Counters{}
 }
 
+// AddClass takes a class that requests may name from now on and returns its number; requests in hand keep theirs.
+// The error is the module's, or ErrClosed.
+func (c *Core) AddClass(k decide.Class) (int, error) {
+	type added struct {
+		n   int
+		err error
+	}
+	got := make(chan added, 1)
+	if !c.post(func() {
+		n, err := c.d.AddClass(c.now(), k)
+		if err == nil {
+			c.classes.Store(int64(n + 1))
+		}
+		got <- added{n, err}
+	}) {
+		return 0, ErrClosed
+	}
+	select {
+	case a := <-got:
+		return a.n, a.err
+	case <-c.stopped:
+		return 0, ErrClosed
+	}
+}
+
+// SetMaxAttempts changes how many attempts a request may have, from now on.
+func (c *Core) SetMaxAttempts(n int) { c.post(func() { c.d.SetMaxAttempts(c.now(), n) }) }
+
 // Roster takes news of the workers.
 func (c *Core) Roster(r Roster) { c.post(func() { c.roster(r) }) }
 
@@ -191,7 +221,7 @@
 // Do takes a request and returns its final answer. If ctx ends before, the request is given up. An error says
 // that there is no answer: the request was not taken, the caller left, or the Core was closed.
 func (c *Core) Do(ctx context.Context, q Request) (Answer, error) {
-	if q.ID == "" || q.Class < 0 || q.Class >= len(c.cfg.Settings.Classes) || q.Deadline.IsZero() {
+	if q.ID == "" || q.Class < 0 || int64(q.Class) >= c.classes.Load() || q.Deadline.IsZero() {
 		return Answer{}, ErrInvalid
 	}
 	k := &call{req: q, answer: make(chan result, 1)}
--- a/core_test.go
+++ b/core_test.go
@@ -229,3 +229,26 @@
 	assert.Equal(t, int64(1), n.HeldOff)
 	assert.Equal(t, int64(1), n.Refused)
 }
+
+// A class added while running is taken by new requests with its own rules: here a safe one is sent again after a
+// reset, where the first class, which may have run, fails.
+func TestAddedClassBindsNewRequests(t *testing.T) {
+	s := newStand()
+	c := testCore(t, s, nil)
+	q := ask("0000000000000001")
+	q.Class = 1
+	_, err := c.Do(context.Background(), q)
+	require.ErrorIs(t, err, ErrInvalid, "not yet a class")
+	n, err := c.AddClass(decide.Class{Aim: int64(time.Second), GiveUp: int64(3 * time.Second), Worth: 1, Effect: decide.Safe})
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	s.replies <- Reply{Result: decide.Reset}
+	s.replies <- Reply{Result: decide.OK, Body: []byte("out")}
+	a, err := c.Do(context.Background(), q)
+	require.NoError(t, err)
+	assert.Equal(t, Served, a.Outcome)
+	s.replies <- Reply{Result: decide.Reset}
+	a, err = c.Do(context.Background(), ask("0000000000000002"))
+	require.NoError(t, err)
+	assert.Equal(t, Failed, a.Outcome, "the first class may have run: no repeat")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"oakthread/internal/opfile"
 	"oakthread/internal/platform"
 	"oakthread/roster"
+	"oakthread/service"
 	"oakthread/webhook"
 )
 
@@ -140,8 +141,9 @@
 	} else if hooks, err = serveHooks(ctx, o.Webhooks, cfg, core, keys, ended, log); err != nil {
 		return err
 	}
-	go reload(beside, hup, getenv, cfg, channel, keys, &reloads, log)
 	front = platform.NewFront(core, cfg.Setup)
+	tuner := newTuner(cfg, core, front)
+	go reload(beside, hup, getenv, cfg, channel, keys, &reloads, tuner.retune, log)
 	front.Gate = desk.Ready
 	if cfg.Console != "" {
 		cl, err := platform.Listen(ctx, cfg.Console)
@@ -240,7 +242,7 @@
 
 // reload reads the configuration anew at each signal and moves the command channel where its address has changed; the
 // webhook front reads its keys. A file that cannot be used changes nothing. Guards against an end by SIGHUP.
-func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, first *platform.Config, channel *platform.Channel, keys chan<- time.Time, n *reloaded, log *slog.Logger) {
+func reload(ctx context.Context, hup <-chan os.Signal, getenv func(string) string, first *platform.Config, channel *platform.Channel, keys chan<- time.Time, n *reloaded, retune func(*platform.Config) error, log *slog.Logger) {
 	at := first.Channel
 	for {
 		select {
@@ -256,6 +258,9 @@
 		if err == nil {
 			err = cfg.Fits(first)
 		}
+		if err == nil && retune != nil {
+			err = retune(cfg)
+		}
 		if err != nil {
 			n.fails.Add(1)
 			log.Error("configuration not reloaded, the old one stays", "file", getenv("ROUTER_CONFIG"), "err", err)
@@ -270,6 +275,45 @@
 	}
 }
 
+// tuner carries the classes and attempts of a reload to the core and the front.
+type tuner struct {
+	core    *oakthread.Core
+	front   *platform.Front
+	classes service.Classes
+}
+
+func newTuner(cfg *platform.Config, core *oakthread.Core, front *platform.Front) *tuner {
+	names, rules := classesOf(cfg)
+	return &tuner{core: core, front: front, classes: service.NewClasses(names, rules)}
+}
+
+func classesOf(cfg *platform.Config) (names []string, rules []decide.Class) {
+	for _, c := range cfg.Setup.Categories {
+		names = append(names, c.Name)
+	}
+	return names, cfg.Setup.Decide().Classes
+}
+
+// retune puts the classes and the number of attempts of a reload in force: new requests take them, those in hand keep
+// theirs. Called from one goroutine.
+func (t *tuner) retune(cfg *platform.Config) error {
+	added, next := t.classes.Retune(classesOf(cfg))
+	for _, k := range added { // all or none: the numbers of the table and the module's stay one
+		if k.Aim <= 0 || k.GiveUp < 0 || k.Window < 0 {
+			return fmt.Errorf("settings: a class with aim %d, give-up %d, window %d cannot be used", k.Aim, k.GiveUp, k.Window)
+		}
+	}
+	for _, k := range added {
+		if _, err := t.core.AddClass(k); err != nil {
+			return fmt.Errorf("settings: a class: %w", err)
+		}
+	}
+	t.classes.Take(added, next)
+	t.front.Classes(t.classes.Names())
+	t.core.SetMaxAttempts(cfg.Setup.Permissions.SendCap)
+	return nil
+}
+
 // reloaded counts the files taken and turned down at SIGHUP.
 type reloaded struct{ taken, fails atomic.Int64 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -38,7 +38,7 @@
 	var n reloaded
 	go func() {
 		defer close(done)
-		reload(ctx, hup, getenv, cfg, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, &n, slog.New(slog.NewTextHandler(end, nil)))
+		reload(ctx, hup, getenv, cfg, platform.NewChannel(cfg, slog.New(slog.DiscardHandler)), keys, &n, nil, slog.New(slog.NewTextHandler(end, nil)))
 	}()
 	for range 2 {
 		hup <- syscall.SIGHUP
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -40,7 +40,7 @@
 // Front serves the platform's clients. It implements http.Handler.
 type Front struct {
 	core     *oakthread.Core
-	classes  map[string]int
+	classes  atomic.Pointer[map[string]int] // by name, the class number that new calls take
 	tenants  map[string]int
 	tells    bool
 	open     atomic.Int64 // calls in the handler
@@ -92,11 +92,12 @@
 
 // NewFront makes the front of a Core.
 func NewFront(core *oakthread.Core, s *wire.Setup) *Front {
-	f := &Front{core: core, classes: map[string]int{}, tenants: map[string]int{}, tells: s.Permissions.RetryAfter,
-		mux: http.NewServeMux()}
+	f := &Front{core: core, tenants: map[string]int{}, tells: s.Permissions.RetryAfter, mux: http.NewServeMux()}
+	classes := map[string]int{}
 	for i, c := range s.Categories {
-		f.classes[c.Name] = i
+		classes[c.Name] = i
 	}
+	f.classes.Store(&classes)
 	for i, c := range s.Customers {
 		f.tenants[c.Name] = i
 	}
@@ -105,6 +106,10 @@
 	return f
 }
 
+// Classes has new calls take the class numbers of names from now on; calls in hand keep theirs. names must not be
+// changed afterwards.
+func (f *Front) Classes(names map[string]int) { f.classes.Store(&names) }
+
 // Bad counts the calls that could not be read.
 func (f *Front) Bad() int64 { return f.bad.Load() }
 
@@ -204,7 +209,7 @@
 	if _, err = hex16(q.ID); err != nil {
 		return q, fmt.Errorf("X-Call-Id %q: want 16 hex digits", q.ID)
 	}
-	class, ok := f.classes[h.Get("X-Class")]
+	class, ok := (*f.classes.Load())[h.Get("X-Class")]
 	if !ok {
 		return q, fmt.Errorf("X-Class %q: not in the settings", h.Get("X-Class"))
 	}
