Name classes added at SIGHUP on the executors' paths too

The console and the module were ruled out by the trace: the panic is in the executor's path.

Change: the fleet's table of class names by number is swapped atomically at each reload, from service.Classes, which now keeps the name of every number; it is swapped before the front takes new names, so no request holds a number it lacks.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,7 +142,7 @@
 		return err
 	}
 	front = platform.NewFront(core, cfg.Setup)
-	tuner := newTuner(cfg, core, front)
+	tuner := newTuner(cfg, core, front, fleet)
 	go reload(beside, hup, getenv, cfg, channel, keys, &reloads, tuner.retune, log)
 	front.Gate = desk.Ready
 	if cfg.Console != "" {
@@ -279,12 +279,13 @@
 type tuner struct {
 	core    *oakthread.Core
 	front   *platform.Front
+	fleet   *platform.Fleet
 	classes service.Classes
 }
 
-func newTuner(cfg *platform.Config, core *oakthread.Core, front *platform.Front) *tuner {
+func newTuner(cfg *platform.Config, core *oakthread.Core, front *platform.Front, fleet *platform.Fleet) *tuner {
 	names, rules := classesOf(cfg)
-	return &tuner{core: core, front: front, classes: service.NewClasses(names, rules)}
+	return &tuner{core: core, front: front, fleet: fleet, classes: service.NewClasses(names, rules)}
 }
 
 func classesOf(cfg *platform.Config) (names []string, rules []decide.Class) {
@@ -309,6 +310,7 @@
 		}
 	}
 	t.classes.Take(added, next)
+	t.fleet.Classes(t.classes.Called())
 	t.front.Classes(t.classes.Names())
 	t.core.SetMaxAttempts(cfg.Setup.Permissions.SendCap)
 	return nil
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -55,7 +55,7 @@
 
 // Fleet carries attempts, probes and orders to executors. It implements oakthread.Workers.
 type Fleet struct {
-	classes []string // escaped for a path
+	classes atomic.Pointer[[]string] // by number, escaped for a path; only grows
 	fields  []string
 	connect time.Duration
 	reach   func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -80,9 +80,11 @@
 	f := &Fleet{connect: s.ConnectTimeout(), lines: map[decide.WorkerID]*line{}, conns: map[*conn]struct{}{},
 		slots: make(chan struct{}, sockets), reach: (&net.Dialer{}).DialContext,
 		idle: time.Duration(idleShare * float64(s.ConnIdle()))}
+	var names []string
 	for _, c := range s.Categories {
-		f.classes = append(f.classes, url.PathEscape(c.Name))
+		names = append(names, c.Name)
 	}
+	f.Classes(names)
 	if s.Feedback.How != "off" {
 		f.fields = s.Feedback.Fields
 	}
@@ -381,6 +383,15 @@
 	return decide.Reset
 }
 
+// Classes names the classes by number from now on, for the executors' paths; it must hold every number in use.
+func (f *Fleet) Classes(names []string) {
+	escaped := make([]string, len(names))
+	for i, n := range names {
+		escaped[i] = url.PathEscape(n)
+	}
+	f.classes.Store(&escaped)
+}
+
 // Send is one attempt: at most one request written.
 func (f *Fleet) Send(ctx context.Context, a oakthread.Attempt) oakthread.Reply {
 	budget := max(1, time.Until(a.Until).Milliseconds())
@@ -390,7 +401,7 @@
 	if len(a.Request.Body) == 0 {
 		method = http.MethodGet
 	}
-	resp, body, unsent, err := f.trip(ctx, a.Worker, method, "/c/"+f.classes[a.Request.Class], h, a.Request.Body)
+	resp, body, unsent, err := f.trip(ctx, a.Worker, method, "/c/"+(*f.classes.Load())[a.Request.Class], h, a.Request.Body)
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
--- a/service/classes.go
+++ b/service/classes.go
@@ -9,13 +9,15 @@
 // number, so that requests in hand keep the old rules, and a dropped class keeps its number for those requests.
 // Its zero value has no class.
 type Classes struct {
-	names map[string]int
-	rules []decide.Class // by number
+	names  map[string]int
+	rules  []decide.Class // by number
+	called []string       // the name of each number
 }
 
 // NewClasses is the table at start: class i is named names[i].
 func NewClasses(names []string, rules []decide.Class) Classes {
-	c := Classes{names: make(map[string]int, len(names)), rules: append([]decide.Class(nil), rules...)}
+	c := Classes{names: make(map[string]int, len(names)), rules: append([]decide.Class(nil), rules...),
+		called: append([]string(nil), names...)}
 	for i, n := range names {
 		c.names[n] = i
 	}
@@ -41,10 +43,19 @@
 
 // Take puts in force what Retune gave, once the module has the added classes.
 func (c *Classes) Take(added []decide.Class, next map[string]int) {
+	c.called = append(c.called, make([]string, len(added))...)
+	for name, n := range next {
+		if n >= len(c.rules) {
+			c.called[n] = name
+		}
+	}
 	c.rules = append(c.rules, added...)
 	c.names = next
 }
 
+// Called names every number, dropped ones among them, as the executors' paths need it.
+func (c *Classes) Called() []string { return append([]string(nil), c.called...) }
+
 // Len is the number of classes, dropped ones among them.
 func (c *Classes) Len() int { return len(c.rules) }
 
--- a/service/classes_test.go
+++ b/service/classes_test.go
@@ -22,6 +22,7 @@
 	assert.Equal(t, map[string]int{"b": 2, "x": 3}, next)
 	c.Take(added, next)
 	assert.Equal(t, 4, c.Len())
+	assert.Equal(t, []string{"a", "b", "b", "x"}, c.Called(), "every number keeps a name for the executors")
 	added, next = c.Retune([]string{"b", "x"}, []decide.Class{b2, x})
 	assert.Empty(t, added, "nothing changed")
 	assert.Equal(t, map[string]int{"b": 2, "x": 3}, next)
