Tell a client to go when resets leave more orphans than allowed

Seen: TestRandomOrders failed about once in 10,000 to 100,000 cases: connection 1 with 3 orphans, 2 allowed. Request refuses new streams at the bound, but streams opened before it can still be reset into orphans (Table.Reset), so the count passed the bound with nothing said.

Change: such a reset marks the connection leaving and answers GoAway, OrphanFlood. The property now asks the bound of a connection that is not leaving, and at most the bound plus its streams less one for one that is. 300,000 cases pass.

--- a/streams/streams.go
+++ b/streams/streams.go
@@ -250,6 +250,10 @@
 			c.orphans++
 		}
 		t.drop(now, c, s)
+		if c.orphans > t.limits.Orphans { // streams open before the bound was reached: the client is told to go
+			c.leaving = true
+			return t.say(GoAway, OrphanFlood)
+		}
 	}
 	if !c.resets.take(now, t.limits.Resets, t.limits.ResetBurst) {
 		c.leaving = true
