Count executors that the module ejects among members_unavailable

Change: decide.Ejected lists the listed workers that the module avoids (read only, in state.go); the core hands it out through its loop, and the console counts the union with bans and drains, each executor once. When the core is slow the last look stands, as for upstream_requests.

Tests: the desk counts an executor once whatever avoids it; Ejected names the worker after a refused connection and nobody after cuts.

--- a/core.go
+++ b/core.go
@@ -212,6 +212,19 @@
 // SetMaxAttempts changes how many attempts a request may have, from now on.
 func (c *Core) SetMaxAttempts(n int) { c.post(func() { c.d.SetMaxAttempts(c.now(), n) }) }
 
+// Ejected lists the workers that the module avoids by its own choice; nil once closed.
+func (c *Core) Ejected() []decide.WorkerID {
+	got := make(chan []decide.WorkerID, 1)
+	if c.post(func() { got <- c.d.Ejected() }) {
+		select {
+		case ids := <-got:
+			return ids
+		case <-c.stopped:
+		}
+	}
+	return nil
+}
+
 // Roster takes news of the workers.
 func (c *Core) Roster(r Roster) { c.post(func() { c.roster(r) }) }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1142,6 +1142,9 @@
 		if dead := res == ConnectFailed; w.sick != dead || (w.holds[0].until == 0) != dead || (f.last["b"] != w.Worker) != dead {
 			t.Fatalf("%d after %d ms: ejected %v, beliefs %v, sent to %d", res, lately/ms, w.sick, w.holds[0].until, f.last["b"])
 		}
+		if ejected := d.Ejected(); (len(ejected) == 1 && ejected[0] == w.Worker) != (res == ConnectFailed) {
+			t.Errorf("%d: Ejected says %v", res, ejected)
+		}
 		if res == Reset {
 			d.Outcome(lately+9*ms, Outcome{ID: "b", Attempt: 1, Worker: w.Worker, Result: res})
 			if f.last["b"] == w.Worker || w.sick {
--- a/decide/state.go
+++ b/decide/state.go
@@ -873,3 +873,15 @@
 	d.set.MaxAttempts = max(1, n)
 	d.arm()
 }
+
+// Ejected lists the listed workers that the module avoids by its own choice (ejected, past their failures), in the
+// order of the list. It changes nothing.
+func (d *Dispatcher) Ejected() []WorkerID {
+	var out []WorkerID
+	for _, w := range d.list {
+		if w.listed && w.sick && w.State == On {
+			out = append(out, w.Worker)
+		}
+	}
+	return out
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -40,8 +40,9 @@
 type Figures struct {
 	Attempts       int64 // written whole to executors
 	Pending        int64
-	Reloads, Fails int64 // files taken and turned down at SIGHUP
-	Stale          bool  // the core did not answer in time: Attempts is not known
+	Reloads, Fails int64             // files taken and turned down at SIGHUP
+	Ejected        []decide.WorkerID // executors that the module avoids by its own choice
+	Stale          bool              // the core did not answer in time: Attempts and Ejected are not known
 }
 
 // Sources are what the console reads and steers. All fields are needed.
@@ -180,10 +181,10 @@
 	done()
 	c.mu.Lock()
 	if n.Stale { // the core was slow: the last look, which lags by less than the bench allows
-		n.Attempts = c.last.Attempts
+		n.Attempts, n.Ejected = c.last.Attempts, c.last.Ejected
 	}
 	c.last = n
-	listed, unavailable := c.desk.Members()
+	listed, unavailable := c.desk.Members(n.Ejected)
 	c.mu.Unlock()
 	var b strings.Builder
 	type row struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -322,12 +322,16 @@
 // figures gathers what the console tells beside the classes; the core's part waits no longer than ctx.
 func figures(ctx context.Context, core *oakthread.Core, front *platform.Front, r *reloaded) console.Figures {
 	f := console.Figures{Pending: front.Pending(), Reloads: r.taken.Load(), Fails: r.fails.Load()}
-	got := make(chan oakthread.Counters, 1)
-	go func() { got <- core.Counters() }()
+	type look struct {
+		n       oakthread.Counters
+		ejected []decide.WorkerID
+	}
+	got := make(chan look, 1)
+	go func() { got <- look{core.Counters(), core.Ejected()} }()
 	select {
-	case n := <-got:
+	case l := <-got:
 		// Attempts less those whose connection was refused.
-		f.Attempts = n.Attempts - n.Ends[decide.ConnectFailed]
+		f.Attempts, f.Ejected = l.n.Attempts-l.n.Ends[decide.ConnectFailed], l.ejected
 	case <-ctx.Done():
 		f.Stale = true
 	}
--- a/service/desk.go
+++ b/service/desk.go
@@ -117,11 +117,12 @@
 	return slices.Sorted(maps.Keys(d.banned))
 }
 
-// Members counts the listed executors, and those of them that are avoided: banned, or draining by the list.
-func (d *Desk) Members() (listed, unavailable int) {
+// Members counts the listed executors, and those of them that are avoided: banned, draining by the list, or among
+// ejected, those that the module avoids by its own choice.
+func (d *Desk) Members(ejected []decide.WorkerID) (listed, unavailable int) {
 	for id, m := range d.listed {
 		listed++
-		if d.banned[id] || m.State != decide.On {
+		if d.banned[id] || m.State != decide.On || slices.Contains(ejected, id) {
 			unavailable++
 		}
 	}
--- a/service/desk_test.go
+++ b/service/desk_test.go
@@ -30,9 +30,11 @@
 	told := d.Listed(list(1, 2)) // the list says Ready again
 	assert.Equal(t, decide.Draining, told.Members[0].State)
 	assert.Equal(t, decide.On, told.Members[1].State)
-	listed, unavailable := d.Members()
+	listed, unavailable := d.Members(nil)
 	assert.Equal(t, 2, listed)
 	assert.Equal(t, 1, unavailable)
+	_, unavailable = d.Members([]decide.WorkerID{1, 2}) // ejected by the module too: each counted once
+	assert.Equal(t, 2, unavailable)
 }
 
 // Two calls out need one call back; the executor comes back as started then, so nothing is believed loaded there.
