One way to put a ban in force in the desk, for calls and for bans read back

The desk had the same steps twice, in Offline and in the restore of kept bans; both now use ban(). No change of behaviour: the desk and console tests pass as before.

--- a/service/desk.go
+++ b/service/desk.go
@@ -54,19 +54,10 @@
 // Offline bans an executor until Online. ok is false for an id that is neither listed nor banned: nothing changes.
 // A second Offline changes nothing. news is what the core is to hear; it is empty where the executor is not listed.
 func (d *Desk) Offline(id decide.WorkerID) (news oakthread.Roster, ok bool) {
-	m, listed := d.listed[id]
-	if !listed && !d.banned[id] {
+	if _, listed := d.listed[id]; !listed && !d.banned[id] {
 		return news, false
 	}
-	if d.banned == nil {
-		d.banned = map[decide.WorkerID]bool{}
-	}
-	d.banned[id] = true
-	news.Kind = decide.RosterDelta
-	if listed {
-		news.Members = []oakthread.Member{d.seen(m)}
-	}
-	return news, true
+	return d.ban(id), true
 }
 
 // Online lifts a ban, however many Offline calls came before. The executor was restarted meanwhile: the core hears
@@ -95,21 +86,22 @@
 		if d.banned[id] {
 			continue
 		}
-		n, _ := d.forceOffline(id)
-		news.Members = append(news.Members, n.Members...)
+		news.Members = append(news.Members, d.ban(id).Members...)
 	}
 	return news
 }
 
-func (d *Desk) forceOffline(id decide.WorkerID) (oakthread.Roster, bool) {
+// ban puts a ban in force; news tells the core of a listed executor.
+func (d *Desk) ban(id decide.WorkerID) (news oakthread.Roster) {
 	if d.banned == nil {
 		d.banned = map[decide.WorkerID]bool{}
 	}
 	d.banned[id] = true
+	news.Kind = decide.RosterDelta
 	if m, ok := d.listed[id]; ok {
-		return oakthread.Roster{Kind: decide.RosterDelta, Members: []oakthread.Member{d.seen(m)}}, true
+		news.Members = []oakthread.Member{d.seen(m)}
 	}
-	return oakthread.Roster{Kind: decide.RosterDelta}, true
+	return news
 }
 
 // Banned lists the bans in force, in order of id.
