Test out of service through the front: readiness, idle connections closed, answers whole

The front's gate and Quiet had only the console's fake under test. This runs a real front over one executor: /ping says 503 while out, an idle kept connection is closed, a call in hand is answered whole with Connection: close, counts go by class, and /ping says 200 again once back in service.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -539,3 +539,51 @@
 	end()
 	require.NoError(t, <-done)
 }
+
+// Guards out of service: readiness says no while the gate is shut, an idle kept connection is closed, an answer in
+// hand still comes whole and ends its connection, and counts go by class; back in service, it says yes again.
+func TestOutOfService(t *testing.T) {
+	url, end, done, front := serve(t, time.Millisecond, make(notify, 8), func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	})
+	var out atomic.Bool
+	front.Gate = func() bool { return !out.Load() }
+	host := strings.TrimPrefix(url, "http://")
+	idle, err := net.Dial("tcp", host)
+	require.NoError(t, err)
+	defer idle.Close()
+	_, err = idle.Write([]byte("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n"))
+	require.NoError(t, err)
+	rd := bufio.NewReader(idle)
+	resp, err := http.ReadResponse(rd, nil)
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	require.Equal(t, 200, resp.StatusCode)
+
+	out.Store(true)
+	front.Quiet(true)
+	resp, err = http.Get(url + "/ping")
+	require.NoError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, 503, resp.StatusCode)
+	_ = idle.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = rd.ReadByte()
+	assert.Error(t, err, "the idle connection is closed")
+	resp, body, err := post(t, t.Context(), url, "0000000000000001", "kept")
+	require.NoError(t, err)
+	assert.Equal(t, "200 kept", fmt.Sprint(resp.StatusCode, " ", body))
+	assert.True(t, resp.Close, "the connection ends after its answer")
+
+	out.Store(false)
+	front.Quiet(false)
+	resp, err = http.Get(url + "/ping")
+	require.NoError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, 200, resp.StatusCode)
+	counts := map[string]int64{}
+	front.Tally(func(class string, o *Outcomes) { counts[class] = o.Completed.Load() })
+	assert.Equal(t, map[string]int64{"path-book": 1}, counts)
+	assert.Zero(t, front.Pending())
+	end()
+	require.NoError(t, <-done)
+}
