Let the desk decide what a kept file of bans changes; add classes all or none in decide

Behaviour and assertions stay; the desk test also asks that a call back at the other process lifts the ban, the core test that a class without an aim is refused.

--- a/core.go
+++ b/core.go
@@ -184,18 +184,18 @@
 	return Counters{}
 }
 
-// AddClass takes a class that requests may name from now on and returns its number; requests in hand keep theirs.
-// The error is the module's, or ErrClosed.
-func (c *Core) AddClass(k decide.Class) (int, error) {
+// AddClasses takes classes that requests may name from now on, all or none, and returns the number of the first;
+// requests in hand keep theirs. The error is the module's, or ErrClosed.
+func (c *Core) AddClasses(ks []decide.Class) (int, error) {
 	type added struct {
 		n   int
 		err error
 	}
 	got := make(chan added, 1)
 	if !c.post(func() {
-		n, err := c.d.AddClass(c.now(), k)
+		n, err := c.d.AddClasses(c.now(), ks)
 		if err == nil {
-			c.classes.Store(int64(n + 1))
+			c.classes.Store(int64(n + len(ks)))
 		}
 		got <- added{n, err}
 	}) {
--- a/core_test.go
+++ b/core_test.go
@@ -239,7 +239,9 @@
 	q.Class = 1
 	_, err := c.Do(context.Background(), q)
 	require.ErrorIs(t, err, ErrInvalid, "not yet a class")
-	n, err := c.AddClass(decide.Class{Aim: int64(time.Second), GiveUp: int64(3 * time.Second), Worth: 1, Effect: decide.Safe})
+	_, err = c.AddClasses([]decide.Class{{Aim: 0}})
+	require.Error(t, err, "a class without an aim")
+	n, err := c.AddClasses([]decide.Class{{Aim: int64(time.Second), GiveUp: int64(3 * time.Second), Worth: 1, Effect: decide.Safe}})
 	require.NoError(t, err)
 	require.Equal(t, 1, n)
 	s.replies <- Reply{Result: decide.Reset}
--- a/decide/state.go
+++ b/decide/state.go
@@ -851,20 +851,26 @@
 	}
 }
 
-// AddClass takes a class that requests may name from now on and returns its number; requests in hand keep the class
-// they came with. An error, for a class without a positive aim or with figures that cannot be read, changes nothing.
-func (d *Dispatcher) AddClass(now int64, c Class) (int, error) {
+// AddClasses takes classes that requests may name from now on and returns the number of the first; requests in hand
+// keep the class they came with. All are taken or none: an error, for a class without a positive aim or with figures
+// that cannot be read, changes nothing.
+func (d *Dispatcher) AddClasses(now int64, cs []Class) (int, error) {
 	d.tick(now)
-	if c.Aim <= 0 || c.Window < 0 || c.GiveUp < 0 || math.IsNaN(c.Worth) {
-		return 0, fmt.Errorf("decide: class: Aim must be above 0, and Window, GiveUp and Worth be read")
-	}
-	d.set.Classes = append(d.set.Classes, c) // a request holds its class by pointer: an old array stays its own
-	d.minAim = min(d.minAim, c.Aim)
-	d.safe = d.safe || c.Effect == Safe
-	d.stats = append(d.stats, stat{usualTime * float64(c.Aim), usualTime / 2 * float64(c.Aim)})
-	d.asked = append(d.asked, 0)
+	for i, c := range cs {
+		if c.Aim <= 0 || c.Window < 0 || c.GiveUp < 0 || math.IsNaN(c.Worth) {
+			return 0, fmt.Errorf("decide: added class %d: Aim must be above 0, and Window, GiveUp and Worth be read", i)
+		}
+	}
+	first := len(d.set.Classes)
+	d.set.Classes = append(d.set.Classes, cs...) // a request holds its class by pointer: an old array stays its own
+	for _, c := range cs {
+		d.minAim = min(d.minAim, c.Aim)
+		d.safe = d.safe || c.Effect == Safe
+		d.stats = append(d.stats, stat{usualTime * float64(c.Aim), usualTime / 2 * float64(c.Aim)})
+		d.asked = append(d.asked, 0)
+	}
 	d.arm()
-	return len(d.set.Classes) - 1, nil
+	return first, nil
 }
 
 // SetMaxAttempts changes how many attempts a request may have, from now on; at least one.
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -241,25 +241,17 @@
 	if err != nil || bytes.Equal(raw, c.seen) {
 		return news
 	}
+	c.seen = raw // a file that cannot be read is told of once
 	var f banFile
 	if err := json.Unmarshal(raw, &f); err != nil {
 		c.log.Error("console: file of bans not read", "path", c.path, "err", err)
 		return news
 	}
-	c.seen = raw
-	want := make([]decide.WorkerID, 0, len(f.Banned))
+	kept := make([]decide.WorkerID, 0, len(f.Banned))
 	for _, id := range f.Banned {
-		want = append(want, decide.WorkerID(id))
-	}
-	news = c.desk.Restore(want)
-	now := time.Now()
-	for _, id := range c.desk.Banned() {
-		if !slices.Contains(want, id) { // called back at the other process
-			n, _ := c.desk.Online(id, now)
-			news.Members = append(news.Members, n.Members...)
-		}
+		kept = append(kept, decide.WorkerID(id))
 	}
-	return news
+	return c.desk.Keep(kept, time.Now())
 }
 
 // writeFile keeps the bans in force for the next version; the caller holds mu.
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -37,7 +37,7 @@
 }
 
 func ids(s string) decide.WorkerID {
-	return map[string]decide.WorkerID{"s-1": 1, "s-2": 2}[s] + 0
+	return map[string]decide.WorkerID{"s-1": 1, "s-2": 2}[s]
 }
 
 func call(t *testing.T, h http.Handler, method, path string) (int, string) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -299,14 +299,9 @@
 // theirs. Called from one goroutine.
 func (t *tuner) retune(cfg *platform.Config) error {
 	added, next := t.classes.Retune(classesOf(cfg))
-	for _, k := range added { // all or none: the numbers of the table and the module's stay one
-		if k.Aim <= 0 || k.GiveUp < 0 || k.Window < 0 {
-			return fmt.Errorf("settings: a class with aim %d, give-up %d, window %d cannot be used", k.Aim, k.GiveUp, k.Window)
-		}
-	}
-	for _, k := range added {
-		if _, err := t.core.AddClass(k); err != nil {
-			return fmt.Errorf("settings: a class: %w", err)
+	if len(added) > 0 { // all or none: the numbers of the table and the module's stay one
+		if _, err := t.core.AddClasses(added); err != nil {
+			return fmt.Errorf("settings: classes: %w", err)
 		}
 	}
 	t.classes.Take(added, next)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -560,12 +560,15 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	require.Equal(t, 200, resp.StatusCode)
 
+	ping := func() int {
+		resp, err := http.Get(url + "/ping")
+		require.NoError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
 	out.Store(true)
 	front.Quiet(true)
-	resp, err = http.Get(url + "/ping")
-	require.NoError(t, err)
-	resp.Body.Close()
-	assert.Equal(t, 503, resp.StatusCode)
+	assert.Equal(t, 503, ping())
 	_ = idle.SetReadDeadline(time.Now().Add(5 * time.Second))
 	_, err = rd.ReadByte()
 	assert.Error(t, err, "the idle connection is closed")
@@ -576,10 +579,7 @@
 
 	out.Store(false)
 	front.Quiet(false)
-	resp, err = http.Get(url + "/ping")
-	require.NoError(t, err)
-	resp.Body.Close()
-	assert.Equal(t, 200, resp.StatusCode)
+	assert.Equal(t, 200, ping())
 	counts := map[string]int64{}
 	front.Tally(func(class string, o *Outcomes) { counts[class] = o.Completed.Load() })
 	assert.Equal(t, map[string]int64{"path-book": 1}, counts)
--- a/service/desk.go
+++ b/service/desk.go
@@ -79,14 +79,20 @@
 	return news, true
 }
 
-// Restore takes bans kept by an earlier process, such as the version before an upgrade, beside those in force.
-func (d *Desk) Restore(ids []decide.WorkerID) (news oakthread.Roster) {
+// Keep makes the bans those kept by another process, such as the version before an upgrade or the one beside it:
+// kept ids are banned, and bans that it called back are lifted, as Online at now.
+func (d *Desk) Keep(kept []decide.WorkerID, now time.Time) (news oakthread.Roster) {
 	news.Kind = decide.RosterDelta
-	for _, id := range ids {
-		if d.banned[id] {
-			continue
+	for _, id := range kept {
+		if !d.banned[id] {
+			news.Members = append(news.Members, d.ban(id).Members...)
+		}
+	}
+	for _, id := range d.Banned() {
+		if !slices.Contains(kept, id) {
+			n, _ := d.Online(id, now)
+			news.Members = append(news.Members, n.Members...)
 		}
-		news.Members = append(news.Members, d.ban(id).Members...)
 	}
 	return news
 }
--- a/service/desk_test.go
+++ b/service/desk_test.go
@@ -69,13 +69,15 @@
 // A ban kept by the version before binds the new one before its list comes, and after the executor has left it.
 func TestRestoredBanBindsBeforeTheList(t *testing.T) {
 	var d Desk
-	d.Restore([]decide.WorkerID{2})
+	d.Keep([]decide.WorkerID{2}, time.Unix(1, 0))
 	told := d.Listed(list(1, 2))
 	assert.Equal(t, decide.Draining, told.Members[1].State)
 	d.Listed(oakthread.Roster{Kind: decide.RosterDelta, Members: []oakthread.Member{{ID: 2, State: decide.Off}}})
 	_, ok := d.Offline(2) // no longer listed, still banned: a yes
 	assert.True(t, ok)
 	assert.Equal(t, []decide.WorkerID{2}, d.Banned())
+	d.Keep(nil, time.Unix(2, 0)) // called back at the other process
+	assert.Empty(t, d.Banned())
 }
 
 func TestOutOfService(t *testing.T) {
