Judge executors by what several observers saw, with bounds on what words may do

Need: a dispatcher of many finds a box that fails fast, or takes eight times as long, by its own samples alone, and one observer's word of silence bound everybody.

verdict/words.go: each observer tells counts of its own calls at a box (at most 15), one who pools them counts each observer once, and every listener goes by the lower end of Wilson's interval (one deviation) of the part of observers that were not served; above one half a call there is more likely spoilt than served. Bounds: never one observer alone, never against calls of one's own that were served, at most a quarter of the capacity together with earlier words, gone after four shortest aims without a word or at a restart of the box; trials go on. An observer that finds three times more boxes silent than it hears doubts itself.

--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -1,4 +1,4 @@
-// Package verdict judges executors for one dispatcher by what it saw itself: ends of calls and connections that never came
+// Package verdict judges executors for one dispatcher by what it saw itself and, in words.go, by what others tell: ends of calls and connections that never came
 // up. It tells an executor whose calls fail from one that cannot be reached, and an executor that cannot be reached from a
 // zone that is cut off from here: of many dispatchers each meets an executor once in some seconds, and would find out
 // about each by itself, at the cost of a call. It has no clock, goroutine or I/O, and must never choose an executor or
@@ -40,6 +40,7 @@
 	aim   int64
 	zonal bool
 	zones map[int]*zone
+	bound []Told // executors that words leave out
 }
 
 // New makes a Judge. aim: the shortest aim, the pace of trials. zonal: zones are judged, and an answer proves that its
@@ -75,6 +76,10 @@
 	cold    bool // its connections never come up
 	round   int  // of its zone, when that was last found
 	trialed int64
+	seen    seen // what came of our calls there
+	word    Word // what others told last
+	wordAt  int64
+	bound   bool // the word would leave it out
 }
 
 func (j *Judge) zone(z int) *zone {
@@ -98,6 +103,9 @@
 // Failed takes a failure. b is out for longer each time a trial fails. Here and below the text says what has changed, with
 // the evidence, for the log; it is empty where nothing has.
 func (j *Judge) Failed(now int64, b *Box, w Weight) string {
+	if w == Failure {
+		b.seen.add(now, j.forget(), false)
+	}
 	if !j.failed(now, b, w) {
 		return ""
 	}
@@ -184,6 +192,7 @@
 // Succeeded takes a call that b served.
 func (j *Judge) Succeeded(now int64, b *Box) string {
 	j.Failures(now, b)
+	b.seen.add(now, j.forget(), true)
 	b.mean *= failDecay
 	if !b.out || b.mean >= failHealed {
 		return ""
@@ -212,7 +221,10 @@
 		x := j.zone(z)
 		return now >= x.next && (b.trialed <= x.ended || now-b.trialed >= longest*j.aim)
 	}
-	return j.Out(b, z) && now >= b.until
+	if j.Out(b, z) {
+		return now >= b.until
+	}
+	return j.ByWords(now, b) && (b.trialed == 0 || now-b.trialed >= longest*j.aim)
 }
 
 // Tried takes that a trial has been sent to b.
--- /dev/null
+++ b/verdict/words_test.go
@@ -0,0 +1,158 @@
+package verdict
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards the threshold: one observer is never enough, two that agree are, and those who are served weigh against them.
+func TestWordsNeedSeveralObservers(t *testing.T) {
+	for _, c := range []struct {
+		good, bad uint8
+		out       bool
+	}{{0, 1, false}, {0, 2, true}, {1, 2, false}, {1, 3, false}, {1, 4, true}, {3, 6, false}, {3, 7, true}, {15, 15, false}, {2, 15, true}} {
+		j, b := New(aim, true), &Box{}
+		news := j.Words(1, []Told{{b, 1, Word{Good: c.good, Bad: c.bad}}}, 100)
+		assert.Equal(t, c.out, j.ByWords(1, b), "%+v: %.2f", c, Word{Good: c.good, Bad: c.bad}.Share())
+		assert.Equal(t, c.out, news[0] != "", "%+v", c)
+	}
+}
+
+// Guards against an observer with much traffic, or a wrong one, that outweighs others: each counts once.
+func TestPoolCountsEachObserverOnce(t *testing.T) {
+	w := Pool([]Mark{{Good: 0, Bad: 15}, {Good: 1}, {Good: 2, Bad: 1}, {}})
+	assert.Equal(t, Word{Good: 2, Bad: 1}, w)
+	assert.False(t, w.Says())
+	assert.Equal(t, Word{Bad: 2}, Pool([]Mark{{Bad: 2}, {Good: 1, Bad: 9}}))
+	assert.Zero(t, Pool([]Mark{{Pace: 200}}).Pace, "one alone")
+	assert.Zero(t, Pool([]Mark{{Good: 3, Pace: 200}, {Good: 9}, {Good: 9}}).Pace, "slow for one, not for others")
+	assert.Equal(t, 8.0, Pool([]Mark{{Good: 3, Pace: 32}, {Good: 2, Pace: 40}, {Good: 1}, {Good: 1, Pace: 32}}).Slow())
+	assert.True(t, Doubts(1, 3))
+	assert.False(t, Doubts(3, 8), "a lost zone may be most of them")
+	assert.False(t, Doubts(0, 1), "one executor says nothing of us")
+}
+
+// Guards what words may not do: own answers stand against them, a quarter of the capacity is the most they leave out, they
+// fade, and a restart ends them.
+func TestWordsAreBounded(t *testing.T) {
+	j := New(aim, true)
+	boxes := make([]Box, 12)
+	told := make([]Told, len(boxes))
+	for i := range boxes {
+		told[i] = Told{&boxes[i], 2, Word{Bad: uint8(2 + i)}}
+	}
+	j.Succeeded(0, &boxes[11])
+	j.Words(10*ms, told, 24)
+	out := func(now int64) (n int) {
+		for i := range boxes {
+			if j.ByWords(now, &boxes[i]) {
+				n++
+			}
+		}
+		return n
+	}
+	assert.False(t, j.ByWords(10*ms, &boxes[11]), "it served us")
+	assert.True(t, j.ByWords(10*ms, &boxes[10]))
+	assert.Equal(t, 2, out(10*ms), "three of twelve, the worst, less the one that served us")
+	assert.True(t, j.Due(10*ms, &boxes[10], 0), "a trial")
+	j.Tried(10*ms, &boxes[10], 0)
+	assert.False(t, j.Due(20*ms, &boxes[10], 0))
+	assert.Equal(t, 0, out(10*ms+wordAims*aim), "no word comes any more")
+	j.Words(2000*ms, told, 24)
+	boxes[10].Restarted()
+	assert.False(t, j.ByWords(2000*ms, &boxes[10]), "another process")
+	assert.True(t, j.ByWords(2000*ms, &boxes[9]))
+	for range 2 {
+		j.Failed(2000*ms, &boxes[9], Failure)
+	}
+	j.Succeeded(2000*ms, &boxes[9])
+	assert.True(t, j.ByWords(2000*ms, &boxes[9]), "our own evidence agrees")
+}
+
+// Guards what is told: evidence against an executor, or of one that others speak of; else nothing, so a calm fleet pays
+// nothing.
+func TestMarksAreToldWhereTheyMatter(t *testing.T) {
+	j, b := New(aim, true), &Box{}
+	j.Succeeded(0, b)
+	_, says := j.Mark(0, b, 1)
+	assert.False(t, says)
+	j.Words(1, []Told{{b, 1, Word{Bad: 3}}}, 100)
+	m, says := j.Mark(1, b, 1)
+	assert.True(t, says, "asked")
+	assert.Equal(t, Mark{Good: 1}, m)
+	c := &Box{}
+	j.Failed(0, c, Failure)
+	m, says = j.Mark(0, c, 1)
+	assert.True(t, says)
+	assert.Equal(t, Mark{Bad: 1}, m)
+	_, says = j.Mark(0, c, 1)
+	assert.True(t, says, "telling changes nothing")
+	_, says = j.Mark(3*longest*aim, c, 1)
+	assert.False(t, says, "it fades")
+	m, says = j.Mark(0, &Box{}, 8)
+	assert.True(t, says && m.Pace == 32)
+	assert.Equal(t, "left out", j.State(1, func() *Box { x := &Box{}; j.Words(1, []Told{{x, 1, Word{Bad: 3}}}, 100); return x }(), 0, 1).Verdict)
+}
+
+// For any order of events: what words leave out is at most a quarter, never what served us last; one observer's marks leave
+// out nothing; without words for a while nothing is left out by them.
+func TestWordsUnderAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j, boxes, now := New(aim, true), make([]Box, 8), int64(1)
+		served := make([]bool, 8)
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += rapid.Int64Range(0, 500*ms).Draw(t, "gap")
+			i := rapid.IntRange(0, 7).Draw(t, "box")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				j.Succeeded(now, &boxes[i])
+			case 1:
+				j.Failed(now, &boxes[i], Failure)
+			case 2:
+				j.Unreached(now, now-10*ms, &boxes[i], i%2)
+			case 3:
+				j.Answered(now, &boxes[i], i%2)
+			case 4:
+				boxes[i].Restarted()
+			case 5:
+				var told []Told
+				alone := rapid.Bool().Draw(t, "one observer")
+				for k := range boxes {
+					mark := Mark{Good: uint8(rapid.IntRange(0, 15).Draw(t, "good")), Bad: uint8(rapid.IntRange(0, 15).Draw(t, "bad"))}
+					marks := []Mark{mark}
+					if !alone {
+						marks = append(marks, mark, Mark{Good: uint8(rapid.IntRange(0, 1).Draw(t, "other"))})
+					}
+					if w := Pool(marks); w.Says() {
+						told = append(told, Told{&boxes[k], 1, w})
+					}
+				}
+				if alone && len(told) > 0 {
+					t.Fatal("one observer says something")
+				}
+				j.Words(now, told, 8)
+			}
+			out := 0
+			for k := range boxes {
+				s := boxes[k].seen
+				s.fade(now, j.forget())
+				served[k] = s.good >= 0.5 && s.good >= s.bad
+				if j.ByWords(now, &boxes[k]) {
+					if out++; served[k] {
+						t.Fatalf("box %d serves us, and is left out by words", k)
+					}
+				}
+			}
+			if out > 2 {
+				t.Fatalf("%d of 8 left out by words", out)
+			}
+		}
+		for k := range boxes {
+			if j.ByWords(now+wordAims*aim, &boxes[k]) {
+				t.Fatal("a word that does not fade")
+			}
+		}
+	})
+}
