Share evidence on executors, want two observers of silence, and sums at 300 dispatchers

Changed: a row quotes only figures that differ (Table.Report); the expected wait is the longer of what is told and what is seen here (wait); a box counts as silent for others once two observers found it so (pooled); where no digest has come for four terms a hub sends the sums and what is silent in one text it can pay for (Message.Short); marks and words of package verdict go with reports and digests, only for boxes that something is known against.

--- a/commons/commons_test.go
+++ b/commons/commons_test.go
@@ -220,6 +220,28 @@
 	})
 }
 
+// Figures that are as they were are not quoted, and count as they are.
+func TestOnlyWhatChangedIsQuoted(t *testing.T) {
+	ts := fleet(3, 2)
+	now := 1000 * 1000 * ms
+	rate := [][]float64{{100, 50}, {100, 50}, {100, 50}}
+	own := func(i int) []float64 { return rate[i] }
+	now += term
+	round(ts, now, 0, own, all)
+	rate[1] = []float64{103, 90}
+	ts[1].Own(rate[1])
+	r := ts[1].Report()
+	require.Len(t, r.Prev, 2)
+	assert.True(t, math.IsNaN(r.Prev[0]))
+	assert.Equal(t, 50.0, r.Prev[1])
+	now += term
+	round(ts, now, 0, own, func(from, _ int) bool { return from != 2 }) // 2 is not heard
+	v := ts[0].View(now, 0)
+	assert.InDelta(t, 303, v.Totals[0].Likely, 3.1, "what the change that is not quoted adds counts for the missing too")
+	assert.InDelta(t, 150, v.Totals[1].Likely, 1, "what came to 1 may be what 2 had")
+	assert.InDelta(t, 190, v.Totals[1].High, 1)
+}
+
 func TestMessageRoundTrip(t *testing.T) {
 	cover := NewSet(300)
 	for i := range 299 {
@@ -235,9 +257,9 @@
 	}
 	for _, m := range []Message{
 		{Hello: true, GoesOn: true},
-		{Calls: 7, Row: Row{Incarnation: 200, Seq: 255, Figures: figs(5), Prev: figs(5)}, Counts: []Count{{1, 5, true, false}, {1 << 15, 0, false, true}}, Pairs: []Pair{{1 << 30, 9}}},
-		{Calls: 1, Row: Row{Figures: figs(2), Fresh: true}},
-		{Hub: true, Sum: Digest{Tick: 65535, Sums: figs(15), Gone: figs(15), Moved: figs(15), Covered: cover, Missing: gone}},
+		{Calls: 7, Row: Row{Incarnation: 200, Seq: 255, Figures: figs(5), Prev: []float64{0, math.NaN(), 25, math.NaN(), math.NaN()}}, Counts: []Count{{1, 5, true, false}, {1 << 15, 0, false, true}}, Pairs: []Pair{{1 << 30, 9}}},
+		{Calls: 1, Row: Row{Figures: figs(15), Fresh: true}, Marks: []Mark{{7, 15, 0, 255}, {1 << 15, 0, 9, 8}}},
+		{Hub: true, Sum: Digest{Short: true, Tick: 65535, Sums: figs(15), Gone: figs(15), Moved: figs(15), Covered: cover, Missing: gone}},
 	} {
 		texts := m.Texts(300)
 		require.Len(t, texts, 1)
@@ -267,6 +289,17 @@
 		counts += len(m.Counts)
 	}
 	assert.Equal(t, 120, counts)
+	big.Counts[77] = Count{Worker: 77, Silent: true}
+	for _, chars := range []int{220, 253, 10000} {
+		short := big.Short(300, chars)
+		assert.LessOrEqual(t, Chars(short.Texts(300)), chars)
+		if chars < 10000 {
+			assert.Equal(t, big.Counts[77:78], short.Counts, "what binds")
+			m, ok := Read(short.Texts(300)[0], 300)
+			assert.True(t, ok && m.Sum.Short)
+		}
+	}
+	assert.Equal(t, big, big.Short(300, 120), "not even the sums")
 	for _, x := range []float64{0, 0.3, 12.5, 819, 7200, 1e6} {
 		assert.InDelta(t, x, small(packed(x)), 0.01+x/4000)
 	}
--- a/commons/message.go
+++ b/commons/message.go
@@ -15,10 +15,19 @@
 	Calls  int  // taken since the last report
 	Row    Row
 	Sum    Digest
+	Marks  []Mark // at most marksMax
 	Counts []Count
 	Pairs  []Pair
 }
 
+// Mark is what a dispatcher, or the observers of a digest, have to say of one worker: calls or observers, good and bad, 15
+// at the most, and a pace. What it means is package verdict's.
+type Mark struct {
+	Worker    uint16
+	Good, Bad uint8
+	Pace      uint8
+}
+
 // Count is what a dispatcher, or all, have at one worker: calls in flight, 63 at the most told.
 type Count struct {
 	Worker        uint16
@@ -34,8 +43,11 @@
 
 const (
 	textMax = 190 // bytes of a part, so that base64 keeps it under the 256 of the wire
-	version = 1   // in the two low bits of the first byte; the version before had none
+	version = 2   // in the two low bits of the first byte; an older version drops what it cannot read
 	figsMax = 15
+
+	marksMax  = 12
+	marksHere = 1 << 6 // in the first byte, over version and figures: a byte with their number follows the row or digest
 )
 
 // flags of a part.
@@ -43,12 +55,41 @@
 	flagHello = 1 << iota
 	flagHub
 	flagGoesOn
-	flagPrev  // of a row: Prev follows
+	flagPrev  // of a row: Prev follows, a bit for each figure that it has and then these
 	flagFresh // of a row
 	flagPart  // of a digest: Covered follows, else all are
 	flagGone  // of a digest: Gone, Moved and Missing follow
+	flagShort // of a digest
 )
 
+// Chars is the length of all texts together.
+func Chars(texts []string) (n int) {
+	for _, x := range texts {
+		n += len(x)
+	}
+	return n
+}
+
+// Short is a digest cut to one text of so many characters at the most: its sums, and of the workers as many as there is room
+// for that some found silent and none heard. A digest that fits is as it was; one whose sums do not fit is left whole.
+func (m Message) Short(siblings, chars int) Message {
+	if !m.Hub || Chars(m.Texts(siblings)) <= chars {
+		return m
+	}
+	short := m
+	short.Counts, short.Pairs, short.Sum.Short = nil, nil, true
+	room := base64.RawStdEncoding.DecodedLen(min(chars, base64.RawStdEncoding.EncodedLen(textMax)))
+	if room -= base64.RawStdEncoding.DecodedLen(len(short.Texts(siblings)[0])); room < 0 {
+		return m
+	}
+	for _, c := range m.Counts {
+		if c.Silent && !c.Heard && len(short.Counts) < room/3 {
+			short.Counts = append(short.Counts, c)
+		}
+	}
+	return short
+}
+
 // Texts packs a message. siblings: of how many dispatchers the sets are.
 func (m Message) Texts(siblings int) (texts []string) {
 	for first := true; first || len(m.Counts)+len(m.Pairs) > 0; first = false {
@@ -65,6 +106,13 @@
 		if !set(flagGoesOn, goesOn) {
 			raw[3] = byte(min(m.Calls, 255))
 			raw = m.first(raw, set, siblings)
+			if marks := m.Marks[:min(len(m.Marks), marksMax)]; len(marks) > 0 {
+				raw[0] |= marksHere
+				raw = append(raw, byte(len(marks)))
+				for _, x := range marks {
+					raw = append(binary.BigEndian.AppendUint16(raw, x.Worker), min(x.Good, 15)<<4|min(x.Bad, 15), x.Pace)
+				}
+			}
 		}
 		room := textMax - len(raw)
 		n := min(len(m.Counts), room/3, 255)
@@ -99,7 +147,14 @@
 		raw = appendFigures(raw, figs)
 		set(flagFresh, m.Row.Fresh)
 		if set(flagPrev, m.Row.Prev != nil) {
-			raw = appendFigures(raw, m.Row.Prev[:len(figs)])
+			has, prev := NewSet(len(figs)), make([]float64, 0, figsMax)
+			for i, x := range m.Row.Prev[:len(figs)] {
+				if !math.IsNaN(x) {
+					has.Add(i)
+					prev = append(prev, x)
+				}
+			}
+			raw = appendFigures(append(raw, has...), prev)
 		}
 		return raw
 	}
@@ -107,6 +162,7 @@
 	raw[0] |= byte(len(figs) << 2)
 	raw = binary.BigEndian.AppendUint16(raw, m.Sum.Tick)
 	raw = appendFigures(raw, figs)
+	set(flagShort, m.Sum.Short)
 	if set(flagPart, m.Sum.Covered.Len() < siblings) {
 		raw = append(raw, m.Sum.Covered...)
 	}
@@ -121,10 +177,11 @@
 // Read unpacks a text; false: it is cut, of another version or of another size of fleet, and says nothing.
 func Read(text string, siblings int) (m Message, ok bool) {
 	raw, err := base64.RawStdEncoding.DecodeString(text)
-	if err != nil || len(raw) < 4 || raw[0]&3 != version || raw[1] >= 128 {
+	if err != nil || len(raw) < 4 || raw[0]&3 != version || raw[0] >= 2*marksHere {
 		return m, false
 	}
-	figs, flags, n := int(raw[0]>>2), raw[1], int(raw[2])
+	marked := raw[0]&marksHere != 0
+	figs, flags, n := int(raw[0]&^marksHere>>2), raw[1], int(raw[2])
 	m.Hello, m.Hub, m.GoesOn, m.Calls = flags&flagHello != 0, flags&flagHub != 0, flags&flagGoesOn != 0, int(raw[3])
 	raw = raw[4:]
 	cut := false
@@ -143,13 +200,28 @@
 		}
 		return out
 	}
+	quoted := func() (out []float64) {
+		has := Set(take((figs + 7) / 8))
+		if beyond(has, figs) {
+			cut = true
+		}
+		for i := range figs {
+			x := math.NaN()
+			if has.Has(i) {
+				x = small(binary.BigEndian.Uint16(take(2)))
+			}
+			out = append(out, x)
+		}
+		return out
+	}
 	sets := (siblings + 7) / 8
 	switch {
 	case m.GoesOn:
-		if figs > 0 || flags&^(flagHello|flagHub|flagGoesOn) != 0 {
+		if figs > 0 || marked || flags&^(flagHello|flagHub|flagGoesOn) != 0 {
 			return m, false
 		}
 	case m.Hub:
+		m.Sum.Short = flags&flagShort != 0
 		m.Sum.Tick = binary.BigEndian.Uint16(take(2))
 		m.Sum.Sums = figures()
 		if flags&flagPart != 0 {
@@ -172,12 +244,17 @@
 		b := take(2)
 		m.Row = Row{Incarnation: b[0], Seq: b[1], Figures: figures(), Fresh: flags&flagFresh != 0}
 		if flags&flagPrev != 0 {
-			m.Row.Prev = figures()
+			m.Row.Prev = quoted()
 		}
-		if flags&(flagPart|flagGone) != 0 {
+		if flags&(flagPart|flagGone|flagShort) != 0 {
 			return m, false
 		}
 	}
+	if marked {
+		for b := take(4 * int(take(1)[0])); len(b) > 0; b = b[4:] {
+			m.Marks = append(m.Marks, Mark{binary.BigEndian.Uint16(b), b[2] >> 4, b[2] & 15, b[3]})
+		}
+	}
 	for b := take(3 * n); len(b) > 0; b = b[3:] {
 		m.Counts = append(m.Counts, Count{binary.BigEndian.Uint16(b), int(b[2] & 63), b[2]&128 != 0, b[2]&64 != 0})
 	}
--- a/commons/table.go
+++ b/commons/table.go
@@ -29,6 +29,9 @@
 // termsApart is by how many terms a hub's clock may differ from ours.
 const termsApart = 2
 
+// staleTerms without a digest, and nobody is heard.
+const staleTerms = 4
+
 // changed is by how much a figure must differ from what it was in the last digest to be quoted: less is chance.
 const changed = 0.1
 
@@ -36,7 +39,7 @@
 type Row struct {
 	Incarnation, Seq uint8
 	Figures          []float64
-	Prev             []float64 // what it added to the last digest that had it; nil: about the same
+	Prev             []float64 // what it added to the last digest that had it; nil, or NaN for a figure: about the same
 	Fresh            bool      // it has added to none since its start
 }
 
@@ -48,6 +51,7 @@
 	Moved   []float64 // of that, what has come to those in Covered since
 	Covered Set
 	Missing Set
+	Short   bool // of the counts beside it, most are left out
 }
 
 // Total is a sum over the fleet with the bounds that hold whether those not heard are dead, cut off or stopped: their calls
@@ -62,6 +66,7 @@
 	Missing int       // that are remembered
 	Age     int64     // since the digest; Never: none since our start
 	Never   bool
+	Stale   bool    // no digest has come for some terms, or none since our start
 	Scale   float64 // how much more the whole is than what is covered, by the figure named at Table.View; at least 1
 }
 
@@ -104,8 +109,20 @@
 // Report is our row as it is to be sent. It counts once Sent says so.
 func (t *Table) Report() Row {
 	r := Row{Incarnation: t.inc, Seq: t.seq + 1, Figures: slices.Clone(t.own), Fresh: !t.counted}
-	if t.counted && (!t.last.Covered.Has(t.set.Number) || differ(t.mine[:t.set.Figures-t.set.Passing], t.own)) {
-		r.Prev = slices.Clone(t.mine)
+	if !t.counted {
+		return r
+	}
+	all, some := !t.last.Covered.Has(t.set.Number), false
+	prev := slices.Clone(t.mine)
+	for i, x := range t.own {
+		if quoted := all || i < t.set.Figures-t.set.Passing && differ(prev[i], x); !quoted {
+			prev[i] = math.NaN()
+		} else {
+			some = true
+		}
+	}
+	if some {
+		r.Prev = prev
 	}
 	return r
 }
@@ -113,14 +130,7 @@
 // Sent takes that a report has gone out.
 func (t *Table) Sent(r Row) { t.seq, t.sent = r.Seq, r.Figures }
 
-func differ(a, b []float64) bool {
-	for i := range a {
-		if math.Abs(a[i]-b[i]) > changed*math.Max(a[i], b[i])+1 {
-			return true
-		}
-	}
-	return false
-}
+func differ(a, b float64) bool { return math.Abs(a-b) > changed*math.Max(a, b)+1 }
 
 // newer tells whether a comes after b, of numbers that wrap round.
 func newer(a, b uint8) bool { return a != b && a-b < 128 }
@@ -174,22 +184,22 @@
 			continue
 		}
 		d.Covered.Add(i)
-		prev := r.Prev
-		if prev == nil {
-			prev = r.Figures
-		}
 		back := t.has && t.last.Missing.Has(i)
 		was := t.has && t.last.Covered.Has(i) && !r.Fresh
 		for j, x := range r.Figures {
 			d.Sums[j] += x
+			prev := x
+			if r.Prev != nil && !math.IsNaN(r.Prev[j]) {
+				prev = r.Prev[j]
+			}
 			switch {
 			case was:
-				left[j] -= prev[j]
-				growth[j] += x - prev[j]
+				left[j] -= prev
+				growth[j] += x - prev
 			case back && r.Fresh: // it does not know: its part of what is missing
 				d.Gone[j] -= t.last.Gone[j] * keep / float64(t.last.Missing.Len())
 			case back:
-				d.Gone[j] -= prev[j] * keep
+				d.Gone[j] -= prev * keep
 			}
 		}
 	}
@@ -241,7 +251,7 @@
 // View tells the sums as they are known. Who has heard nobody since its start may see all there is or as much as each of the
 // others: its likely total is the geometric mean of the two. by: the figure whose covered part tells the scale of all that is counted beside.
 func (t *Table) View(now int64, by int) View {
-	v := View{Totals: make([]Total, t.set.Figures), Heard: 1, Scale: 1, Never: !t.has}
+	v := View{Totals: make([]Total, t.set.Figures), Heard: 1, Scale: 1, Never: !t.has, Stale: !t.has}
 	if !t.has {
 		v.Covered = slices.Clone(t.own)
 		for i, x := range t.own {
@@ -253,7 +263,7 @@
 	v.Heard, v.Missing, v.Age = t.last.Covered.Len(), t.last.Missing.Len(), max(0, now-t.lastAt)
 	unknown := t.set.Siblings - v.Heard - v.Missing
 	keep := math.Exp(-float64(v.Age) / float64(t.set.Forget))
-	stale := v.Age > 4*t.set.Term
+	v.Stale = v.Age > staleTerms*t.set.Term
 	for i, x := range t.own {
 		sum := t.last.Sums[i]
 		was := 0.0
@@ -266,7 +276,7 @@
 			high += sum / float64(v.Heard) * float64(unknown)
 		}
 		v.Totals[i] = Total{Low: x, Likely: x + others, High: x + high}
-		if !stale {
+		if !v.Stale {
 			v.Totals[i].Low = max(x, min(sum, x+others))
 			continue
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -690,23 +690,22 @@
 func (d *Dispatcher) well(now int64, w *worker) bool { return !d.out(w) && !d.silent(now, w) }
 
 // silent: its oldest attempt is overdue and nothing has been heard since that was sent.
-func (d *Dispatcher) silent(now int64, w *worker) bool {
-	return d.nobodys(now, w) || d.silentHere(now, w)
-}
+func (d *Dispatcher) silent(now int64, w *worker) bool { return d.nobodys(now, w) || d.quiet(now, w) }
 
-// nobodys: no dispatcher hears it, or none on our side of a cut.
+// nobodys: no dispatcher hears it, none is served there, or none on our side of a cut.
 func (d *Dispatcher) nobodys(now int64, w *worker) bool {
-	return d.toldSilent(now, w) || d.judge.Cut(w.Zone)
+	return d.told(now, w) || d.judge.Cut(w.Zone)
 }
 
-// toldSilent: the hub tells that some found it silent and none had an answer; nor had we. Of many dispatchers
-// the next hubs may be down, and each alone is slow to find out.
-func (d *Dispatcher) toldSilent(now int64, w *worker) bool {
+// told: the hub tells that others were not served there, or that some found it silent and none had an answer;
+// nor had we. Of many dispatchers the next hubs may be down, and each alone is slow to find out.
+func (d *Dispatcher) told(now int64, w *worker) bool {
 	long := min(d.tau(), 2*d.many()*float64(d.minAim))
-	return w.silentAt > 0 && float64(now-w.silentAt) < long && w.lastAnswer < w.silentAt-d.minAim
+	mute := w.silentAt > 0 && float64(now-w.silentAt) < long && w.lastAnswer < w.silentAt-d.minAim
+	return mute || d.judge.ByWords(now, &w.health)
 }
 
-func (d *Dispatcher) silentHere(now int64, w *worker) bool {
+func (d *Dispatcher) quiet(now int64, w *worker) bool {
 	return len(w.open) > 0 && now > w.open[0].due && w.lastAnswer <= w.open[0].sent
 }
 
@@ -715,7 +714,7 @@
 	n := uint64(d.set.Siblings)
 	turn := (mix(uint64(w.Worker)+uint64(now)/uint64(d.tau()))%n+uint64(d.set.Number))%n < few
 	return d.judge.Due(now, &w.health, w.Zone) && len(w.open) == 0 && len(r.tries) == 0 &&
-		(r.class.Effect == Safe || !d.safe) && (turn || !d.toldSilent(now, w))
+		(r.class.Effect == Safe || !d.safe) && (turn || !d.told(now, w))
 }
 
 // ---- Cold budget (rule 4). All dispatchers together may send a started worker the stated multiple of what
@@ -837,10 +836,11 @@
 		usual = max(usual, st.mean*float64(d.minAim)/float64(d.set.Classes[i].Aim))
 	}
 	usual = max(usualTime, min(waitLow, usual/float64(d.minAim))) * float64(d.minAim)
+	own := (n + waitPrior) / (rate + waitPrior/usual)
 	if all := d.sum(served); now-d.digestAt < 2*d.minAim && all > 0 {
-		n, rate = d.sum(waiting), all/1e9
+		return max(own, (d.sum(waiting)+waitPrior)/(all/1e9+waitPrior/usual))
 	}
-	return (n + waitPrior) / (rate + waitPrior/usual)
+	return own
 }
 
 func (d *Dispatcher) queued(now int64) (n float64) {
@@ -944,7 +944,8 @@
 	m := commons.Message{Hub: hub == d.set.Number, Calls: d.calls}
 	d.shared.Own(d.figures(now))
 	d.view = d.shared.View(now, d.kept()+served)
-	if in := now % term; m.Hub && (in < d.minAim*2/beats || now-d.born < d.minAim ||
+	in := now % term
+	if m.Hub && (in < d.minAim*2/beats || now-d.born < d.minAim ||
 		d.many() > 1 && in < term/2 && !d.shared.Full(now)) {
 		return // the reports are not all in
 	}
@@ -956,11 +957,12 @@
 	if m.Hub {
 		purse, to, receivers = &d.pool, -1, d.set.Siblings-1
 	}
-	texts := m.Texts(d.set.Siblings)
-	cost := 0.0
-	for _, x := range texts {
-		cost += max(d.set.PeerPrice, tellFloor) * float64(receivers*len(x)) / 256
+	char := max(d.set.PeerPrice, tellFloor) * float64(receivers) / 256
+	if m.Hub && in > term*3/4 && d.view.Stale { // a whole one is too dear for all of them
+		m = m.Short(d.set.Siblings, int(*purse/char))
 	}
+	texts := m.Texts(d.set.Siblings)
+	cost := char * float64(commons.Chars(texts))
 	if cost > *purse {
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1068,10 +1068,62 @@
 	if d.workers[1].others != 9 || d.silent(5001*ms, d.workers[1]) || !d.silent(5001*ms, d.workers[2]) {
 		t.Errorf("load %.0f at worker 1, silent %v, %v", d.workers[1].others, d.silent(5001*ms, d.workers[1]), d.silent(5001*ms, d.workers[2]))
 	}
-	d.Peer(5000*ms, 99, digest(d, 5200*ms, []float64{1, 1})) // no such sibling
+	d.Peer(5010*ms, 1, digest(d, 5010*ms, []float64{40, 0}))
+	for i := range 40 { // what we see ourselves is newer than what was told
+		d.Request(5020*ms, call(fmt.Sprint(i), 5020*ms, FuncID(i%4)))
+	}
+	for _, w := range d.list {
+		for _, a := range w.open {
+			a.warm = true
+		}
+	}
+	if w := d.wait(5030 * ms); w < 2*calm {
+		t.Errorf("expected wait %.0f ms with 40 calls of our own in queue, an idle fleet told just before, %.0f ms then", w/1e6, calm/1e6)
+	}
+	d.Peer(5040*ms, 99, digest(d, 5200*ms, []float64{1, 1})) // no such sibling
 	d.Peer(5000*ms, 1, "AAAA")
 }
 
+// Found with 300 dispatchers: a digest of all workers cost more than a hub may save up, so one was sent in a whole day, and
+// nothing was shared. Where none has come for some terms a hub tells the sums, and what is silent.
+func TestHubOfManyTellsWhatItCanPayFor(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings, s.Peers, s.PeerPrice, s.Fall = 300, true, 0.021, 0
+	s.Classes[0].Aim = 240 * ms
+	d, f := start(t, s, 118)
+	d.greeted = helloPeers
+	term := hubAims * d.minAim
+	for at := 10*term + 300*ms; ; at += term {
+		hub := int(mix(uint64(at/term)) % 300)
+		if hub != s.Number {
+			continue
+		}
+		for from := 1; from < 300; from++ { // each took some three calls
+			row := commons.Message{Calls: 3, Row: commons.Row{Incarnation: 1, Seq: uint8(at / term), Figures: []float64{7, 1}, Fresh: true},
+				Counts: []commons.Count{{Worker: uint16(1 + from%118), N: 1, Heard: true}, {Worker: 118, N: 1, Silent: true}}}
+			d.Peer(at, from, row.Texts(300)[0])
+		}
+		told := len(f.told)
+		for in := at; in < at/term*term+term; in += 30 * ms {
+			d.tell(in)
+		}
+		if at > 20000*term {
+			t.Fatal("never the hub")
+		}
+		if len(f.told) == told {
+			t.Fatalf("told nothing, with %.1f earned", d.pool)
+		}
+		m, ok := commons.Read(f.told[told], 300)
+		if !ok || m.Sum.Sums[0] < 299*7-1 || len(m.Counts) != 1 || m.Counts[0].Worker != 118 || !d.told(at, d.workers[118]) {
+			t.Fatalf("told %+v", m)
+		}
+		if len(f.told) > told+1 {
+			t.Fatalf("%d texts", len(f.told)-told)
+		}
+		return
+	}
+}
+
 // Found with 80 dispatchers and a zone of more than half of the workers lost: over half looked sick, so the judgement
 // was distrusted and calls went there again, and each dispatcher tried each of them over and over by itself.
 func TestLostZoneIsTriedByFew(t *testing.T) {
@@ -1108,7 +1160,7 @@
 		}
 		for _, many := range []int{3, 80} { // of few, each finds out for itself soon
 			d.set.Siblings = many
-			if told := d.toldSilent(now+3*d.minAim, d.workers[2]); told != (many == 80) {
+			if told := d.told(now+3*d.minAim, d.workers[2]); told != (many == 80) {
 				t.Fatalf("three aims later, %d dispatchers: told silent %v", many, told)
 			}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -11,6 +11,8 @@
 	"oakthread/verdict"
 )
 
+const heardAims = 2 // shortest aims for which a worker that answered counts as heard, where one asks whether the fault is its own
+
 const forgetTaus = 20 // tau: the time constant with which a dispatcher that is not heard is forgotten
 
 // State of the Dispatcher, its events' bookkeeping and plain helpers. Nothing here decides.
@@ -122,6 +124,7 @@
 	others     float64 // requests of other dispatchers, by reports
 	othersAt   int64
 	peers      []peerCount
+	marks      []peerMark // what others told of it to us as the hub
 }
 
 type ghost struct {
@@ -160,6 +163,12 @@
 	return 0
 }
 
+type peerMark struct {
+	from int
+	at   int64
+	mark verdict.Mark
+}
+
 type peerCount struct {
 	from   int
 	n      int
@@ -508,6 +517,12 @@
 			}
 		}
 	}
+	for _, x := range m.Marks {
+		if w := d.tags[x.Worker]; w != nil {
+			w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return p.from == from || now-p.at > hubAims*d.minAim })
+			w.marks = append(w.marks, peerMark{from, now, verdict.Mark{Good: x.Good, Bad: x.Bad, Pace: x.Pace}})
+		}
+	}
 	for _, c := range m.Counts {
 		if w := d.tags[c.Worker]; w != nil {
 			*w.peer(from) = peerCount{from, c.N, now, c.Silent, c.Heard}
@@ -537,20 +552,25 @@
 	h.until = max(h.until, now+d.set.KeepAlive)
 }
 
-// learnDigest takes the sums over all dispatchers: what a first part leaves out is idle. Calls at a worker are told of those
+// learnDigest takes the sums over all dispatchers: what a first part leaves out is idle, but of a short one. Calls at a worker are told of those
 // that the sums cover; the others are taken to have as many there, by their answers.
 func (d *Dispatcher) learnDigest(now int64, from int, m commons.Message) {
 	if !m.GoesOn {
 		if !d.shared.Told(now, from, m.Sum) {
 			return
 		}
-		d.view, d.digestAt = d.shared.View(now, d.kept()+served), now
+		d.view = d.shared.View(now, d.kept()+served)
+		d.takeWords(now, m.Marks)
 		for _, w := range d.list {
-			w.others, w.othersAt = 0, now
+			if !m.Sum.Short {
+				w.others, w.othersAt, d.digestAt = 0, now, now
+			}
 		}
 	}
 	for _, c := range m.Counts {
-		if w := d.tags[c.Worker]; w != nil && w.listed {
+		if w := d.tags[c.Worker]; w != nil && w.listed && m.Sum.Short {
+			w.silentAt = now
+		} else if w != nil && w.listed {
 			w.others, w.othersAt = max(0, float64(c.N)*max(1, d.view.Scale)-float64(len(w.open))), now
 			if w.silentAt = 0; c.Silent && !c.Heard {
 				w.silentAt = now
@@ -564,6 +584,31 @@
 	d.others = middle(d.sorted)
 }
 
+// takeWords takes what a digest tells of workers whose calls fail or take long.
+func (d *Dispatcher) takeWords(now int64, marks []commons.Mark) {
+	if len(marks) == 0 {
+		return
+	}
+	told, of, all := []verdict.Told(nil), []*worker(nil), 0.0
+	for _, w := range d.list {
+		all += max(w.Weight, 0.1)
+	}
+	for _, m := range marks {
+		w := d.tags[m.Worker]
+		if w == nil || !w.listed {
+			continue
+		}
+		word := verdict.Word(verdict.Mark{Good: m.Good, Bad: m.Bad, Pace: m.Pace})
+		told, of = append(told, verdict.Told{Box: &w.health, Weight: max(w.Weight, 0.1), Word: word}), append(of, w)
+		if word.Pace > 0 && now-w.paceAt > d.minAim { // we have not seen for ourselves lately
+			w.pace, w.paceAt = min(word.Slow(), paceMax), now
+		}
+	}
+	for i, text := range d.judge.Words(now, told, all) {
+		d.changed(now, of[i], text)
+	}
+}
+
 // FirstByte binds a request to a stream: it has no deadline and no further attempts.
 func (d *Dispatcher) FirstByte(now int64, id string, n int) {
 	d.tick(now)
@@ -740,19 +785,30 @@
 	} else {
 		m.Row = d.shared.Report()
 	}
+	heard, silent := 0, 0
+	for _, w := range d.list {
+		if d.out(w) || d.quiet(now, w) {
+			silent++
+		} else if now-w.lastAnswer < heardAims*d.minAim {
+			heard++
+		}
+	}
+	sure := !verdict.Doubts(heard, silent)
 	for _, w := range d.list {
-		c := commons.Count{Worker: tag(w.Worker), N: len(w.open), Silent: d.out(w) || d.silentHere(now, w),
+		c := commons.Count{Worker: tag(w.Worker), N: len(w.open), Silent: sure && (d.out(w) || d.quiet(now, w)),
 			Heard: now-w.lastAnswer < d.minAim*heardBeats/beats}
-		for _, p := range w.peers {
-			if m.Hub && now-p.at < d.minAim {
-				c.N += p.n
-				c.Silent, c.Heard = c.Silent || p.silent, c.Heard || p.heard
-			}
+		mark, says := d.judge.Mark(now, &w.health, w.pace*math.Exp(-float64(now-w.paceAt)/float64(d.keep())))
+		if says = says && sure; m.Hub {
+			mark, says = d.pooled(now, w, &c, mark, says)
+		}
+		if says {
+			m.Marks = append(m.Marks, commons.Mark{Worker: tag(w.Worker), Good: mark.Good, Bad: mark.Bad, Pace: mark.Pace})
 		}
 		if c.N > 0 || c.Silent || c.Heard {
 			m.Counts = append(m.Counts, c)
 		}
 	}
+	slices.SortStableFunc(m.Marks, func(a, b commons.Mark) int { return int(b.Bad) - int(a.Bad) }) // there is room for a dozen
 	most := helloPeers + len(m.Counts)/pairPart
 	for _, h := range d.news {
 		if len(m.Pairs) < most && (h.until > now || h.inflight > 0) {
@@ -761,6 +817,34 @@
 	}
 }
 
+// pooled adds to what we have at w what others reported, and makes a word of all marks, each observer one.
+func (d *Dispatcher) pooled(now int64, w *worker, c *commons.Count, own verdict.Mark, says bool) (verdict.Mark, bool) {
+	silent, marks := 0, make([]verdict.Mark, 0, len(w.marks)+1)
+	if c.Silent {
+		silent++
+	}
+	for _, p := range w.peers {
+		if now-p.at < d.minAim {
+			c.N += p.n
+			c.Heard = c.Heard || p.heard
+			if p.silent {
+				silent++
+			}
+		}
+	}
+	c.Silent = silent >= min(2, d.set.Siblings-1) // one alone may be cut off, or have stood still
+	for _, p := range w.marks {
+		if now-p.at <= hubAims*d.minAim {
+			marks = append(marks, p.mark)
+		}
+	}
+	if says {
+		marks = append(marks, own)
+	}
+	word := verdict.Pool(marks)
+	return verdict.Mark(word), word.Says()
+}
+
 // AddClasses takes classes that requests may name from now on and returns the number of the first; requests in hand
 // keep the class they came with. All are taken or none: an error, for a class without a positive aim or with figures
 // that cannot be read, changes nothing.
