--- a/commons/message.go
+++ b/commons/message.go
@@ -12,7 +12,7 @@
 	Hello  bool // asks for all beliefs
 	GoesOn bool
 	Hub    bool // a digest: Sum counts, else Row
-	Calls  int  // taken since the last report
+	Calls  int  // of a report: taken since the last one
 	Row    Row
 	Sum    Digest
 	Marks  []Mark // at most marksMax
@@ -94,7 +94,7 @@
 func (m Message) Texts(siblings int) (texts []string) {
 	for first := true; first || len(m.Counts)+len(m.Pairs) > 0; first = false {
 		goesOn := m.GoesOn || !first
-		raw, flags := []byte{version, 0, 0, 0}, byte(0)
+		raw, flags := []byte{version, 0, 0}, byte(0)
 		set := func(flag byte, on bool) bool {
 			if on {
 				flags |= flag
@@ -104,7 +104,6 @@
 		set(flagHello, m.Hello)
 		set(flagHub, m.Hub)
 		if !set(flagGoesOn, goesOn) {
-			raw[3] = byte(min(m.Calls, 255))
 			raw = m.first(raw, set, siblings)
 			if marks := m.Marks[:min(len(m.Marks), marksMax)]; len(marks) > 0 {
 				raw[0] |= marksHere
@@ -143,7 +142,7 @@
 	if !m.Hub {
 		figs := m.Row.Figures[:min(len(m.Row.Figures), figsMax)]
 		raw[0] |= byte(len(figs) << 2)
-		raw = append(raw, m.Row.Incarnation, m.Row.Seq)
+		raw = append(raw, byte(min(m.Calls, 255)), m.Row.Incarnation, m.Row.Seq)
 		raw = appendFigures(raw, figs)
 		set(flagFresh, m.Row.Fresh)
 		if set(flagPrev, m.Row.Prev != nil) {
@@ -177,13 +176,13 @@
 // Read unpacks a text; false: it is cut, of another version or of another size of fleet, and says nothing.
 func Read(text string, siblings int) (m Message, ok bool) {
 	raw, err := base64.RawStdEncoding.DecodeString(text)
-	if err != nil || len(raw) < 4 || raw[0]&3 != version || raw[0] >= 2*marksHere {
+	if err != nil || len(raw) < 3 || raw[0]&3 != version || raw[0] >= 2*marksHere {
 		return m, false
 	}
 	marked := raw[0]&marksHere != 0
 	figs, flags, n := int(raw[0]&^marksHere>>2), raw[1], int(raw[2])
-	m.Hello, m.Hub, m.GoesOn, m.Calls = flags&flagHello != 0, flags&flagHub != 0, flags&flagGoesOn != 0, int(raw[3])
-	raw = raw[4:]
+	m.Hello, m.Hub, m.GoesOn = flags&flagHello != 0, flags&flagHub != 0, flags&flagGoesOn != 0
+	raw = raw[3:]
 	cut := false
 	take := func(n int) []byte {
 		if len(raw) < n {
@@ -241,8 +240,9 @@
 			return m, false
 		}
 	default:
-		b := take(2)
-		m.Row = Row{Incarnation: b[0], Seq: b[1], Figures: figures(), Fresh: flags&flagFresh != 0}
+		b := take(3)
+		m.Calls = int(b[0])
+		m.Row = Row{Incarnation: b[1], Seq: b[2], Figures: figures(), Fresh: flags&flagFresh != 0}
 		if flags&flagPrev != 0 {
 			m.Row.Prev = quoted()
 		}
--- a/commons/table.go
+++ b/commons/table.go
@@ -32,7 +32,8 @@
 // staleTerms without a digest, and nobody is heard.
 const staleTerms = 4
 
-// changed is by how much a figure must differ from what it was in the last digest to be quoted: less is chance.
+// changed is by how much a figure must differ from what it was in the last digest to be quoted, beside its root: less is chance
+// in a rate that is a mean over some seconds.
 const changed = 0.1
 
 // Row is one dispatcher's report. Incarnation tells its restarts apart, Seq its reports; both wrap round.
@@ -130,7 +131,9 @@
 // Sent takes that a report has gone out.
 func (t *Table) Sent(r Row) { t.seq, t.sent = r.Seq, r.Figures }
 
-func differ(a, b float64) bool { return math.Abs(a-b) > changed*math.Max(a, b)+1 }
+func differ(a, b float64) bool {
+	return math.Abs(a-b) > changed*math.Max(a, b)+1+math.Sqrt(math.Max(a, b))
+}
 
 // newer tells whether a comes after b, of numbers that wrap round.
 func newer(a, b uint8) bool { return a != b && a-b < 128 }
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -9,8 +9,9 @@
 	"errors"
 	"fmt"
 	"math"
+	"os"
 	"path/filepath"
-	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -60,9 +61,13 @@
 	Seed               uint64
 	Group              int
 	Program            Program
+	Debug              bool
 }
 
-const meshBusy = 5.5
+const (
+	meshBusy = 5.5
+	hubTerm  = 2 // shortest aims for which one dispatcher collects
+)
 
 // NewMesh lays out a mesh.
 func NewMesh(net *Net, dir string, size MeshSize) (*Mesh, error) {
@@ -87,7 +92,7 @@
 	asked := [2]float64{m.Tenants[0].Asked, m.Tenants[1].Asked + m.Tenants[2].Asked}
 	var err error
 	m.Rig, err = NewRig(net, dir, RigSize{Dispatchers: size.Dispatchers, Boxes: size.Boxes, Figures: f, Program: size.Program, Group: size.Group,
-		Seed: size.Seed, Load: Load{Models: 6 * size.Boxes, Zipf: 0.4},
+		Seed: size.Seed, Debug: size.Debug, Load: Load{Models: 6 * size.Boxes, Zipf: 0.4},
 		Rate: func(n int) float64 { return asked[n%2] * weight(n) / sums[n%2] },
 		Tenant: func(n, seq int) string {
 			if n%2 == 0 {
@@ -228,15 +233,19 @@
 	Breaches
 	calm, first, later, floodCalm, flood float64 // the lesser of b's and c's shares; calls a second of a
 	bytes                                float64 // of messages a call, before the fault
+	apart                                float64 // by how much dispatchers' totals differ two terms after the end; NaN: not told
 }
 
-// RunMesh runs the experiment.
+// meshSpans are how long the parts of a run are; heal: after the fault, where it can end.
+type meshSpans struct{ warm, calm, first, later, heal time.Duration }
+
+// RunMesh runs the experiment. Both programs run at the same time, each fleet with boxes and addresses of its own.
 func RunMesh(ctx context.Context, o Options) (*Report, error) {
-	dispatchers, boxes, warm, calm, span := 12, 4, 4*time.Second, 4*time.Second, 8*time.Second
-	faults := MeshFaults()
+	sizes, boxes, seeds, faults := []int{12, 24}, 4, 3, MeshFaults()
+	spans := meshSpans{4 * time.Second, 3 * time.Second, 2 * time.Second, 6 * time.Second, 3 * time.Second}
 	if o.Quick {
-		dispatchers, boxes, warm, calm, span = 6, 2, 4*time.Second, 2*time.Second, 5*time.Second
-		faults = []string{MeshHalves, MeshUnheard}
+		sizes, boxes, seeds, faults = []int{6}, 2, 1, []string{MeshHalves, MeshUnheard}
+		spans = meshSpans{4 * time.Second, 2 * time.Second, 2 * time.Second, 5 * time.Second, 3 * time.Second}
 	}
 	programs, err := both(ctx, o, meshBefore)
 	if err != nil {
@@ -248,28 +257,44 @@
 	}
 	defer net.Close()
 	rep := &Report{Name: "mesh", Seed: o.Seed, Arms: []string{"before", "after"}, Note: fmt.Sprintf(
-		"%d dispatchers (processes), %d boxes; a floods with 3 times its allowance, b and c ask for 0.9 of theirs at other dispatchers; before: commit %s", dispatchers, boxes, cmp.Or(o.Before, meshBefore))}
-	for _, fault := range faults {
-		var pair [2]*meshResult
-		errs := [2]error{}
-		run := func(arm int) {
-			size := MeshSize{Dispatchers: dispatchers, Boxes: boxes, Slow: 1, Seed: o.Seed, Group: arm, Program: programs[arm]}
-			dir := filepath.Join(o.Dir, fmt.Sprintf("%d-%s", slices.Index(faults, fault), rep.Arms[arm]))
-			pair[arm], errs[arm] = meshArm(ctx, net, dir, fault, size, warm, calm, span)
-		}
-		o.Log("%s", fault)
-		for arm := range pair {
-			run(arm)
-			if errs[arm] != nil {
-				return nil, fmt.Errorf("%s, %s: %w", fault, rep.Arms[arm], errs[arm])
+		"%d dispatchers (processes), %d boxes; a floods with 3 times its allowance, b and c ask for 0.9 of theirs at other dispatchers; before: commit %s; seeds from %d on",
+		sizes, boxes, cmp.Or(o.Before, meshBefore), o.Seed)}
+	for _, n := range sizes {
+		for i, fault := range faults {
+			for s := range seeds {
+				seed := o.Seed + uint64(s)
+				name := fmt.Sprintf("%d, seed %d, %s: ", n, seed, fault)
+				o.Log("%s", name)
+				pair, err := meshPair(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d", n, i, s)), fault,
+					MeshSize{Dispatchers: n, Boxes: boxes, Slow: 1, Seed: seed, Debug: true}, programs, spans)
+				if err != nil {
+					return nil, fmt.Errorf("%s%w", name, err)
+				}
+				meshReport(rep, name, fault, pair)
 			}
 		}
-		meshReport(rep, fault, pair)
 	}
 	return rep, nil
 }
 
-func meshArm(ctx context.Context, net *Net, dir, fault string, size MeshSize, warm, calm, span time.Duration) (*meshResult, error) {
+// meshPair runs a fault under both programs.
+func meshPair(ctx context.Context, net *Net, dir, fault string, size MeshSize, programs [2]Program, spans meshSpans) (pair [2]*meshResult, err error) {
+	errs := make(chan error, len(pair))
+	for arm := range pair {
+		go func() {
+			s := size
+			s.Group, s.Program = arm, programs[arm]
+			var err error
+			if pair[arm], err = meshArm(ctx, net, filepath.Join(dir, fmt.Sprint(arm)), fault, s, spans); err != nil {
+				err = fmt.Errorf("program %d: %w", arm, err)
+			}
+			errs <- err
+		}()
+	}
+	return pair, errors.Join(<-errs, <-errs)
+}
+
+func meshArm(ctx context.Context, net *Net, dir, fault string, size MeshSize, spans meshSpans) (*meshResult, error) {
 	m, err := NewMesh(net, dir, size)
 	if err != nil {
 		return nil, err
@@ -284,22 +309,33 @@
 	going, enough := context.WithCancel(ctx)
 	defer enough()
 	m.Run(going)
-	at := time.Now().Add(warm)
-	if err := sleepUntil(ctx, at.Add(calm)); err != nil {
+	at := time.Now().Add(spans.warm)
+	if err := sleepUntil(ctx, at.Add(spans.calm)); err != nil {
 		return nil, err
 	}
 	began := time.Now()
-	if err := m.Begin(going, fault); err != nil {
+	failing, over := context.WithCancel(going)
+	defer over()
+	if err := m.Begin(failing, fault); err != nil {
 		return nil, err
 	}
-	settled, end := began.Add(2*time.Second), began.Add(2*time.Second+span)
+	settled, end := began.Add(spans.first), began.Add(spans.first+spans.later)
 	if err := sleepUntil(ctx, end); err != nil {
 		return nil, err
 	}
+	r := &meshResult{apart: math.NaN()}
+	if over(); fault != MeshKilled {
+		m.Heal()
+		healed := time.Now()
+		if err := sleepUntil(ctx, healed.Add(spans.heal)); err != nil {
+			return nil, err
+		}
+		r.apart = m.Apart(healed.Add(2*hubTerm*m.Figures.Classes[0].Aim), healed.Add(spans.heal))
+	}
 	enough()
 	m.Heal()
 	m.Quiet()
-	r := &meshResult{calm: m.Honest(at, began), first: m.Honest(began, settled), later: m.Honest(settled, end)}
+	r.calm, r.first, r.later = m.Honest(at, began), m.Honest(began, settled), m.Honest(settled, end)
 	_, r.floodCalm = m.Share("a", at, began)
 	_, r.flood = m.Share("a", settled, end)
 	calls := 0
@@ -321,9 +357,41 @@
 	return r, nil
 }
 
-func meshReport(rep *Report, fault string, both [2]*meshResult) {
+// Apart is by how much the dispatchers' totals of a differ, of the least, as each tells first in a span; NaN where one tells
+// none. A dispatcher tells it in its log alone, so this figure is its word.
+func (m *Mesh) Apart(from, until time.Time) float64 {
+	low, high := math.Inf(1), 0.0
+	for _, path := range m.Logs() {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return math.NaN()
+		}
+		first := math.NaN()
+		for line := range strings.Lines(string(raw)) {
+			if !strings.Contains(line, " msg=shared ") {
+				continue
+			}
+			stamp, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
+			_, figures, _ := strings.Cut(line, `likely="[`)
+			at, err := time.Parse(time.RFC3339Nano, stamp)
+			var a float64
+			if _, bad := fmt.Sscanf(figures, "%g", &a); err != nil || bad != nil || at.Before(from) || at.After(until) {
+				continue
+			}
+			first = a
+			break
+		}
+		if math.IsNaN(first) {
+			return first
+		}
+		low, high = min(low, first), max(high, first)
+	}
+	return high/max(low, 1e-9) - 1
+}
+
+func meshReport(rep *Report, name, fault string, both [2]*meshResult) {
 	row := func(what, unit string, of func(*meshResult) float64) {
-		rep.Row(fault+": "+what, unit, of(both[0]), of(both[1]))
+		rep.Row(name+what, unit, of(both[0]), of(both[1]))
 	}
 	row("b or c served, all hearing", "of their calls", func(r *meshResult) float64 { return r.calm })
 	row("in the first 2 s", "", func(r *meshResult) float64 { return r.first })
@@ -331,16 +399,18 @@
 	row("a served, all hearing", "calls/s", func(r *meshResult) float64 { return r.floodCalm })
 	row("after", "calls/s", func(r *meshResult) float64 { return r.flood })
 	row("messages", "bytes a call", func(r *meshResult) float64 { return r.bytes })
+	row("totals apart, two terms after the end", "of the least", func(r *meshResult) float64 { return r.apart })
 	is := both[1]
-	share := 0.95
+	rep.Most(name+"breaches of the rules", float64(is.Sum()), 0)
 	if fault == MeshStarted {
-		share = 0.85
+		rep.Least(name+"b and c after 2 s, of their calls", is.later, 0.85)
+	} else {
+		rep.Least(name+"b and c after 2 s, of what they get with all hearing", is.later/math.Max(is.calm, 1e-9), 0.95)
+		rep.Least(name+"within these", is.first/math.Max(is.calm, 1e-9), 0.9)
+		rep.Most(name+"a, of what it gets with all hearing", is.flood/math.Max(is.floodCalm, 1e-9), 1.1)
+		rep.Most(name+"bytes a call, of those before", is.bytes/math.Max(both[0].bytes, 1e-9), 1.1)
 	}
-	rep.Least(fault+": b and c after 2 s, of what they get with all hearing", is.later/math.Max(is.calm, 1e-9), share)
-	if fault != MeshStarted {
-		rep.Least(fault+": within these", is.first/math.Max(is.calm, 1e-9), 0.9)
-		rep.Most(fault+": a, of what it gets with all hearing", is.flood/math.Max(is.floodCalm, 1e-9), 1.1)
+	if fault != MeshKilled {
+		rep.Most(name+"totals apart, two terms after the end", is.apart, 0.05)
 	}
-	rep.Most(fault+": breaches of the rules", float64(is.Sum()), 0)
-	rep.Most(fault+": bytes a call, of those before", is.bytes/math.Max(both[0].bytes, 1e-9), 1.1)
 }
