--- a/decide/decide.go
+++ b/decide/decide.go
@@ -709,12 +709,13 @@
 	return len(w.open) > 0 && now > w.open[0].due && w.lastAnswer <= w.open[0].sent
 }
 
-// trialDue: of a worker that nobody hears, a few dispatchers make trials in turn; the hub tells the others.
+// trialDue: a worker that nobody hears is tried by a few dispatchers in turn, one that serves nobody by one.
 func (d *Dispatcher) trialDue(now int64, w *worker, r *request) bool {
 	n := uint64(d.set.Siblings)
-	turn := (mix(uint64(w.Worker)+uint64(now)/uint64(d.tau()))%n+uint64(d.set.Number))%n < few
+	turn := (mix(uint64(w.Worker)+uint64(now)/uint64(d.tau()))%n + uint64(d.set.Number)) % n
+	mine := turn == 0 || turn < few && !d.judge.ByWords(now, &w.health)
 	return d.judge.Due(now, &w.health, w.Zone) && len(w.open) == 0 && len(r.tries) == 0 &&
-		(r.class.Effect == Safe || !d.safe) && (turn || !d.told(now, w))
+		(r.class.Effect == Safe || !d.safe) && (mine || !d.told(now, w))
 }
 
 // ---- Cold budget (rule 4). All dispatchers together may send a started worker the stated multiple of what
--- a/decide/state.go
+++ b/decide/state.go
@@ -515,11 +515,11 @@
 					w.peers[i].at = 0
 				}
 			}
+			w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return p.from == from })
 		}
 	}
 	for _, x := range m.Marks {
 		if w := d.tags[x.Worker]; w != nil {
-			w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return p.from == from || now-p.at > hubAims*d.minAim })
 			w.marks = append(w.marks, peerMark{from, now, verdict.Mark{Good: x.Good, Bad: x.Bad, Pace: x.Pace}})
 		}
 	}
@@ -819,10 +819,20 @@
 
 // pooled adds to what we have at w what others reported, and makes a word of all marks, each observer one.
 func (d *Dispatcher) pooled(now int64, w *worker, c *commons.Count, own verdict.Mark, says bool) (verdict.Mark, bool) {
-	silent, marks := 0, make([]verdict.Mark, 0, len(w.marks)+1)
+	silent, heard, marks := 0, 0, make([]verdict.Mark, 0, len(w.marks)+1)
 	if c.Silent {
 		silent++
 	}
+	if says {
+		marks = append(marks, own)
+	} else if c.Heard {
+		heard++
+	}
+	for _, p := range w.marks {
+		if now-p.at <= hubAims*d.minAim {
+			marks = append(marks, p.mark)
+		}
+	}
 	for _, p := range w.peers {
 		if now-p.at < d.minAim {
 			c.N += p.n
@@ -830,19 +840,18 @@
 			if p.silent {
 				silent++
 			}
+			if p.heard && !slices.ContainsFunc(w.marks, func(m peerMark) bool { return m.from == p.from }) {
+				heard++
+			}
 		}
 	}
 	c.Silent = silent >= min(2, d.set.Siblings-1) // one alone may be cut off, or have stood still
-	for _, p := range w.marks {
-		if now-p.at <= hubAims*d.minAim {
-			marks = append(marks, p.mark)
-		}
-	}
-	if says {
-		marks = append(marks, own)
+	stands := d.judge.Bound(now, &w.health)
+	if stands { // an answer may be of before: what has served since is told by marks
+		heard = 0
 	}
-	word := verdict.Pool(marks)
-	return verdict.Mark(word), word.Says()
+	word := verdict.Pool(marks, heard)
+	return verdict.Mark(word), word.Says(stands)
 }
 
 // AddClasses takes classes that requests may name from now on and returns the number of the first; requests in hand
--- a/internal/lab/boxserver.go
+++ b/internal/lab/boxserver.go
@@ -25,6 +25,7 @@
 	Class    int
 	Took     bool // it was taken: it runs
 	Draining bool // the box was draining when it came
+	Failed   bool // it ran, and its answer was an error
 }
 
 // Figures are the sizes of the emulated world that boxes and clients share.
@@ -66,6 +67,7 @@
 	seen    []Sight
 	orders  []time.Time // orders to load that came
 	drained time.Time   // when it began to drain
+	failing float64     // share of calls that run and fail at once; probes and orders do not
 
 	kick chan struct{}
 	stop context.CancelFunc
@@ -139,6 +141,26 @@
 	s.wake()
 }
 
+// Fail has a share of all calls end with an error at once, from now on.
+func (s *BoxServer) Fail(share float64) {
+	s.mu.Lock()
+	s.failing = share
+	s.mu.Unlock()
+}
+
+// fails tells whether a call is to fail: by its id and how many came before.
+func (s *BoxServer) fails(id string, class int) bool {
+	h := fnv.New32a()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprint(h, s.ID, id, len(s.seen))
+	if s.failing == 0 || s.box.Draining() || s.box.Fallen() || float64(h.Sum32()%1000) >= 1000*s.failing {
+		return false
+	}
+	s.seen = append(s.seen, Sight{At: time.Now(), ID: id, Class: class, Took: true, Failed: true})
+	return true
+}
+
 // Die ends the box: its connections are reset and its address refuses.
 func (s *BoxServer) Die() {
 	_ = s.srv.Close()
@@ -200,7 +222,7 @@
 	if j.Order {
 		s.orders = append(s.orders, now)
 	} else {
-		s.seen = append(s.seen, Sight{now, j.ID, j.Class, v == Taken, s.box.Draining()})
+		s.seen = append(s.seen, Sight{At: now, ID: j.ID, Class: j.Class, Took: v == Taken, Draining: s.box.Draining()})
 	}
 	s.mu.Unlock()
 	if v != Taken {
@@ -224,6 +246,10 @@
 		return
 	}
 	id := r.Header.Get("X-Hop-Id")
+	if s.fails(id, class) {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
 	j := &Job{ID: id, Class: class, Model: model, Work: s.f.Work(class, id), Load: s.f.Load, Lanes: s.f.Lanes}
 	v, err := s.submit(r, j)
 	if err != nil {
--- a/internal/lab/experiments.go
+++ b/internal/lab/experiments.go
@@ -16,5 +16,6 @@
 		{"fleet", "Many dispatchers in virtual time while boxes are replaced or a zone is lost", Fleet},
 		{"comeback", "Ways between processes are cut and come back, with the program before and after", Comeback},
 		{"mesh", "Tenants' shares while parts of the fleet do not hear each other, with the program before and after", RunMesh},
+		{"verdicts", "Boxes that fail, are slow, die or are out of reach for some, with the program before and after", RunVerdicts},
 	}
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -79,7 +79,8 @@
 	seen    seen // what came of our calls there
 	word    Word // what others told last
 	wordAt  int64
-	bound   bool // the word would leave it out
+	since   int64 // when a verdict by words began
+	boundAt int64 // the last word that would leave it out; 0: none
 }
 
 func (j *Judge) zone(z int) *zone {
@@ -104,7 +105,7 @@
 // the evidence, for the log; it is empty where nothing has.
 func (j *Judge) Failed(now int64, b *Box, w Weight) string {
 	if w == Failure {
-		b.seen.add(now, j.forget(), false)
+		b.seen.failed, b.seen.failedAt = now, true
 	}
 	if !j.failed(now, b, w) {
 		return ""
@@ -192,7 +193,7 @@
 // Succeeded takes a call that b served.
 func (j *Judge) Succeeded(now int64, b *Box) string {
 	j.Failures(now, b)
-	b.seen.add(now, j.forget(), true)
+	b.seen.served(now, j.forget())
 	b.mean *= failDecay
 	if !b.out || b.mean >= failHealed {
 		return ""
@@ -224,7 +225,7 @@
 	if j.Out(b, z) {
 		return now >= b.until
 	}
-	return j.ByWords(now, b) && (b.trialed == 0 || now-b.trialed >= longest*j.aim)
+	return j.ByWords(now, b) && (b.trialed == 0 || now-b.trialed >= wordAims*j.aim)
 }
 
 // Tried takes that a trial has been sent to b.
--- a/verdict/words.go
+++ b/verdict/words.go
@@ -7,87 +7,88 @@
 	"slices"
 )
 
-// This file owns what observers tell each other of executors: evidence, not opinions. Each observer tells counts of its own
-// calls at an executor; whoever pools them counts each observer once, whatever its traffic, so that none alone, behind, cut
+// This file owns what observers tell each other of executors: evidence, not opinions. Each observer tells what came of its own
+// calls at an executor lately; whoever pools that counts each observer once, whatever its traffic, so that none alone, behind, cut
 // off or wrong, leaves an executor out for others or brings one back. What is told of the pool is again counts, and every
 // listener judges for itself: by the lower end of an interval, never against answers of its own, and for a bounded part of
 // the capacity.
 
 const (
 	markMost  = 15  // of calls, in a mark; and of observers, in a word
+	voteBad   = 6   // from so many fifteenths of failures on an observer counts as not served: its latest call there failed
 	paceUnit  = 4   // a pace is told in quarters of the mean time
 	slowPace  = 2.0 // from so many times the mean on an executor's pace is told
-	wordZ     = 1.0 // deviations of the interval: two of two observers, four of five, seven of ten are enough
+	wordZ     = 1.5 // deviations of the interval: three of three observers, five of six, seven of nine are enough; two of two
+	// are not, for where one call in a hundred fails by chance that comes about every some minutes
 	wordLimit = 0.5 // above it a call is more likely spoilt than served: what a wrong ejection costs, another's load, is less
-	wordAims  = 4   // shortest aims after its last word that a verdict by others fades to trial: two terms of a hub
+	wordAims  = 4   // shortest aims after which a failure is no vote any more, and between two trials of what words leave out
+	fadeAims  = 8   // shortest aims after the last word against it in which a verdict by others fades: two trials and their words
 	doubtRate = 3   // an observer that finds so many times more executors silent than it hears doubts itself
 	capPart   = 4   // at most one in so many executors, by weight, is left out by words
 )
 
-// Mark is what one observer tells of its own calls at an executor lately, each count at most 15.
+// Mark is what one observer tells of an executor.
 type Mark struct {
-	Good, Bad uint8
-	Pace      uint8 // the time its calls took there, in quarters of the mean of all; 0: not slow
+	Good uint8 // calls that it served lately, 15 at the most
+	Bad  uint8 // how much of the latest failed, in fifteenths; 0 once the last failure is some time ago
+	Pace uint8 // the time its calls took there, in quarters of the mean of all; 0: not slow
 }
 
-// Word is what the observers of a pool tell of an executor, each counted once: as good if it was served at least as often
-// as not, else as bad.
+// Word is what the observers of a pool tell of an executor, each counted once: those that it served, and those whose latest
+// call there failed.
 type Word struct {
 	Good, Bad uint8
 	Pace      uint8 // the middle of those that told one, if they are two at least
 }
 
-// seen is what we saw of an executor ourselves, decaying.
+// seen is what we saw of an executor ourselves.
 type seen struct {
-	good, bad float64
-	at        int64
+	good     float64 // calls served, decaying
+	at       int64
+	failed   int64 // when the last one failed
+	failedAt bool  // one has
 }
 
-// add counts one call more; forget is the time constant.
-func (s *seen) add(now, forget int64, good bool) {
-	s.fade(now, forget)
-	if good {
-		s.good++
-	} else {
-		s.bad++
-	}
+// served counts one call more; forget is the time constant.
+func (s *seen) served(now, forget int64) {
+	s.good, s.at = s.lately(now, forget)+1, now
 }
 
-func (s *seen) fade(now, forget int64) {
-	if now > s.at {
-		f := math.Exp(-float64(now-s.at) / float64(forget))
-		s.good, s.bad, s.at = s.good*f, s.bad*f, now
-	}
+func (s *seen) lately(now, forget int64) float64 {
+	return s.good * math.Exp(-float64(max(0, now-s.at))/float64(forget))
 }
 
 // forget is the time constant of evidence.
 func (j *Judge) forget() int64 { return longest * j.aim }
 
-// Mark is what we have to tell of b, whose calls take pace times as long as the mean: evidence against it, or of others'
-// evidence against it, what ours is. false: nothing.
+// Mark is what we have to tell of b, whose calls take pace times as long as the mean: evidence against it, or where a verdict
+// by words stands, that it has served us since. false: nothing.
 func (j *Judge) Mark(now int64, b *Box, pace float64) (m Mark, ok bool) {
-	s := b.seen
-	s.fade(now, j.forget())
-	m = Mark{Good: uint8(min(math.Round(s.good), markMost)), Bad: uint8(min(math.Round(s.bad), markMost))}
+	if !j.Bound(now, b) || b.seen.at >= b.since {
+		m.Good = uint8(min(math.Round(b.seen.lately(now, j.forget())), markMost))
+	}
+	if b.seen.failedAt && now-b.seen.failed < wordAims*j.aim {
+		m.Bad = uint8(math.Round(markMost * b.mean))
+	}
 	if pace >= slowPace {
 		m.Pace = uint8(min(pace*paceUnit, 255))
 	}
-	asked := b.wordAt > 0 && now-b.wordAt < wordAims*j.aim
-	return m, m.Bad > 0 && m.Bad >= m.Good || m.Pace > 0 || asked && m.Good+m.Bad > 0
+	return m, m.Bad >= voteBad || m.Pace > 0 || j.Bound(now, b) && m.Good > 0 && b.mean < failHealed
 }
 
 // Doubts tells whether one that hears so many executors and finds so many silent must take itself to be the cause: its word
 // weighs nothing then.
 func Doubts(heard, silent int) bool { return silent > 1 && silent >= doubtRate*heard }
 
-// Pool makes a word of the marks of several observers, one each.
-func Pool(marks []Mark) (w Word) {
+// Pool makes a word of the marks of several observers, one each; heard: observers that told no mark and had an answer.
+func Pool(marks []Mark, heard int) (w Word) {
+	w.Good = uint8(min(heard, markMost))
 	var paces []uint8
 	for _, m := range marks {
 		switch {
-		case m.Bad > m.Good:
+		case m.Bad >= voteBad:
 			w.Bad = min(w.Bad+1, markMost)
-		case m.Good > 0:
+		case m.Good > 0 || m.Pace > 0:
 			w.Good = min(w.Good+1, markMost)
 		}
 		if m.Pace > 0 {
@@ -104,13 +105,13 @@
 	return w
 }
 
-// Says tells whether a word has anything to tell.
-func (w Word) Says() bool { return w.Bad > 1 || w.Pace > 0 }
+// Says tells whether a word has anything to tell; stands: a verdict by words stands.
+func (w Word) Says(stands bool) bool { return w.Bad > 1 || w.Pace > 0 || stands && w.observers() > 0 }
 
 // Slow is how many times longer calls take there; 0: not told.
 func (w Word) Slow() float64 { return float64(w.Pace) / paceUnit }
 
-// Share is the lower end of the interval (Wilson's, of one deviation) of the part of observers that found the executor bad.
+// Share is the lower end of the interval (Wilson's, of one and a half deviations) of the part of observers that found the executor bad.
 func (w Word) Share() float64 {
 	n := float64(w.Good) + float64(w.Bad)
 	if n == 0 {
@@ -127,53 +128,61 @@
 	Word   Word
 }
 
-// Words takes the words of a digest; all: the weight of all executors. Of those that words would leave out, the worst
-// are, up to a quarter of the capacity with those of digests before that still stand. The texts are for the log, in the order of told; empty where nothing has changed.
+// Words takes the words of a digest; all: the weight of all executors. Of those that words would leave out, the worst are,
+// up to a quarter of the capacity with those of digests before that still stand. A verdict that stands is renewed by any word
+// against it, for then one executor is tried by one observer at a time, and ends with the first word that more observers
+// were served than not. The texts are for the log, in the order of told; empty where nothing has changed.
 func (j *Judge) Words(now int64, told []Told, all float64) (news []string) {
 	order := make([]int, len(told))
 	for i := range order {
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(told[b].Word.Share(), told[a].Word.Share()) })
-	left, was := all/capPart, make([]bool, len(told))
+	news = make([]string, len(told))
 	for i, t := range told {
-		was[i] = j.ByWords(now, t.Box)
-		t.Box.word, t.Box.wordAt, t.Box.bound = t.Word, now, false
+		b, stood := t.Box, j.Bound(now, t.Box)
+		b.word, b.wordAt = t.Word, now
+		switch {
+		case stood && t.Word.Good > t.Word.Bad:
+			b.boundAt = 0
+			news[i] = fmt.Sprintf("back by words: %d of %d observers were served", t.Word.Good, t.Word.observers())
+		case stood && t.Word.Bad > 0:
+			b.boundAt = now
+		}
 	}
-	j.bound = slices.DeleteFunc(j.bound, func(t Told) bool { return !t.Box.bound || now-t.Box.wordAt >= wordAims*j.aim })
-	for _, t := range j.bound { // words of digests before that still stand
+	left := all / capPart
+	j.bound = slices.DeleteFunc(j.bound, func(t Told) bool { return !j.Bound(now, t.Box) })
+	for _, t := range j.bound {
 		left -= t.Weight
 	}
-	news = make([]string, len(told))
 	for _, i := range order {
 		b, word := told[i].Box, told[i].Word
-		if word.Bad > 1 && word.Share() > wordLimit && left >= told[i].Weight {
+		if !j.Bound(now, b) && word.Bad > 1 && word.Share() > wordLimit && left >= told[i].Weight {
 			left -= told[i].Weight
-			b.bound = true
+			b.boundAt, b.since = now, now
 			j.bound = append(j.bound, told[i])
-		}
-		if !was[i] && j.ByWords(now, b) {
-			news[i] = fmt.Sprintf("left out by words: %d of %d observers were not served", word.Bad, int(word.Bad)+int(word.Good))
+			news[i] = fmt.Sprintf("left out by words: %d of %d observers were not served", word.Bad, word.observers())
 		}
 	}
 	return news
 }
 
-// ByWords tells whether b is left out for what others saw: until the word fades, and not against what we saw ourselves.
+func (w Word) observers() int { return int(w.Good) + int(w.Bad) }
+
+// Bound tells whether words of others would leave b out.
+func (j *Judge) Bound(now int64, b *Box) bool { return b.boundAt > 0 && now-b.boundAt < fadeAims*j.aim }
+
+// ByWords tells whether b is left out for what others saw: until the words fade, and not against a call that it served us at
+// most one shortest aim before.
 func (j *Judge) ByWords(now int64, b *Box) bool {
-	if !b.bound || now-b.wordAt >= wordAims*j.aim {
-		return false
-	}
-	s := b.seen
-	s.fade(now, j.forget())
-	return s.good < 0.5 || s.bad > s.good
+	return j.Bound(now, b) && (b.seen.good == 0 || b.seen.at < b.since-j.aim || b.mean > failHealed)
 }
 
 // State is what is held of one executor, for operators.
 type State struct {
 	Verdict     string // well, suspect, left out, on trial
 	Evidence    string
-	Good, Bad   float64 // our own calls lately, decaying
+	Good, Bad   float64 // our own calls served lately, decaying, and the part of the latest that failed
 	Word        Word
 	WordAge     int64 // of the word; below 0: none
 	TrialIn     int64 // until the next trial; 0 where none is due
@@ -182,9 +191,7 @@
 
 // State tells what is held of b; pace as at Mark.
 func (j *Judge) State(now int64, b *Box, z int, pace float64) State {
-	s := b.seen
-	s.fade(now, j.forget())
-	x := State{Verdict: "well", Evidence: "nothing against it", Good: s.good, Bad: s.bad, Word: b.word, WordAge: -1, Unreachable: b.cold}
+	x := State{Verdict: "well", Evidence: "nothing against it", Good: b.seen.lately(now, j.forget()), Bad: j.Failures(now, b), Word: b.word, WordAge: -1, Unreachable: b.cold}
 	if b.wordAt > 0 {
 		x.WordAge = now - b.wordAt
 	}
@@ -197,8 +204,8 @@
 			x.Evidence = "it cannot be reached from here"
 		}
 	case j.ByWords(now, b):
-		x.Verdict, x.Evidence = "left out", fmt.Sprintf("%d of %d observers were not served", b.word.Bad, int(b.word.Bad)+int(b.word.Good))
-		x.TrialIn = max(0, b.trialed+longest*j.aim-now)
+		x.Verdict, x.Evidence = "left out", fmt.Sprintf("%d of %d observers were not served", b.word.Bad, b.word.observers())
+		x.TrialIn = max(0, b.trialed+wordAims*j.aim-now)
 	case j.Failures(now, b) > failLimit/2:
 		x.Verdict, x.Evidence = "suspect", fmt.Sprintf("%d%% of our late calls failed", b.percent())
 	case pace >= slowPace:
