Show verdicts to operators, and count neither stuck calls nor short silence against a box

Cause, by the messages: stuck calls of those cut off were told as load in flight there (gather, N), and an answer counted as heard for half the time over which silence is found (heardBeats).

--- a/core.go
+++ b/core.go
@@ -215,29 +215,27 @@
 func (c *Core) SetMaxAttempts(n int) { c.post(func() { c.d.SetMaxAttempts(c.now(), n) }) }
 
 // Ejected lists the workers that the module avoids by its own choice; nil once closed.
-func (c *Core) Ejected() []decide.WorkerID {
-	got := make(chan []decide.WorkerID, 1)
-	if c.post(func() { got <- c.d.Ejected() }) {
-		select {
-		case ids := <-got:
-			return ids
-		case <-c.stopped:
-		}
-	}
-	return nil
-}
+func (c *Core) Ejected() []decide.WorkerID { return look(c, c.d.Ejected) }
 
 // Shared is what is known of the sums over all dispatchers; the zero View once closed.
-func (c *Core) Shared() commons.View {
-	got := make(chan commons.View, 1)
-	if c.post(func() { got <- c.d.Shared() }) {
+func (c *Core) Shared() commons.View { return look(c, c.d.Shared) }
+
+// Verdicts lists what is held of each worker and why; nil once closed.
+func (c *Core) Verdicts() []decide.Verdict {
+	return look(c, func() []decide.Verdict { return c.d.Verdicts(c.now()) })
+}
+
+// look asks the module; the zero value once closed.
+func look[T any](c *Core, ask func() T) (none T) {
+	got := make(chan T, 1)
+	if c.post(func() { got <- ask() }) {
 		select {
-		case v := <-got:
-			return v
+		case x := <-got:
+			return x
 		case <-c.stopped:
 		}
 	}
-	return commons.View{}
+	return none
 }
 
 // Roster takes news of the workers.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,7 +40,6 @@
 	tellFloor   = 0.002 // price taken for a message where less is told: each one is read by its receiver
 	pairPart    = 8     // workers told of for one new holder: the hash guesses holders, so sums come first
 	purseMax    = 10.0  // what may be saved up for messages
-	heardBeats  = 4     // rounds for which a worker that answered is told as answering
 	hubAims     = 2     // shortest aims for which one dispatcher collects: a dead one is missed no longer
 	helloPeers  = 3     // dispatchers asked for their beliefs after a restart
 	beats       = 8     // housekeeping rounds in the shortest aim
--- a/decide/state.go
+++ b/decide/state.go
@@ -796,8 +796,11 @@
 	sure := !verdict.Doubts(heard, silent)
 	for _, w := range d.list {
 		c := commons.Count{Worker: tag(w.Worker), N: len(w.open), Silent: sure && (d.out(w) || d.quiet(now, w)),
-			Heard: now-w.lastAnswer < d.minAim*heardBeats/beats}
-		mark, says := d.judge.Mark(now, &w.health, w.pace*math.Exp(-float64(now-w.paceAt)/float64(d.keep())))
+			Heard: now-w.lastAnswer < d.minAim} // a worker is found silent over about as long
+		if d.quiet(now, w) { // what is stuck on its way is no load there
+			c.N = 0
+		}
+		mark, says := d.judge.Mark(now, &w.health, 1+(w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep())))
 		if says = says && sure; m.Hub {
 			mark, says = d.pooled(now, w, &c, mark, says)
 		}
@@ -896,5 +899,27 @@
 	return out
 }
 
+// Verdict is what is held of one worker, for operators.
+type Verdict struct {
+	Worker WorkerID
+	Zone   int
+	Pace   float64 // time of its calls in the mean of all
+	Silent bool    // others found it silent, and nobody had an answer
+	verdict.State
+}
+
+// Verdicts lists what is held of each listed worker, in the order of the list. It changes nothing that is decided.
+func (d *Dispatcher) Verdicts(now int64) (out []Verdict) {
+	for _, w := range d.list {
+		pace := 1 + (w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
+		v := Verdict{w.Worker, w.Zone, pace, d.told(now, w) && !d.judge.ByWords(now, &w.health), d.judge.State(now, &w.health, w.Zone, pace)}
+		if v.Silent && v.State.Verdict == "well" {
+			v.State.Verdict, v.Evidence = "left out", "several found it silent, and nobody had an answer"
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
 // Shared is what is known of the sums over all dispatchers, as of the last round; it changes nothing.
 func (d *Dispatcher) Shared() commons.View { return d.view }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,7 +74,7 @@
 	config := Group("config", "Look at the operator's file")
 	config.AddCommand(&cobra.Command{Use: "check FILE", Short: "Check an operator's file and say what it sets", Args: Args(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error { return checkConfig(c.OutOrStdout(), args[0]) }})
-	root.AddCommand(alone, config, list())
+	root.AddCommand(alone, config, list(), verdicts(env.Getenv))
 	return root
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"oakthread/decide"
+	"oakthread/internal/console"
 	"oakthread/internal/kept"
 	"oakthread/roster"
 )
@@ -122,3 +126,31 @@
 	assert.Contains(t, out, "l.db")
 	assert.Contains(t, out, "webhooks  off")
 }
+
+// A row for each executor that is not well, all with --all, and one line that says what is wrong.
+func TestVerdictsShow(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, "/control/verdicts", r.URL.Path)
+		_ = json.NewEncoder(w).Encode([]console.Verdict{{Executor: 16094, Verdict: "left out", Evidence: "3 of 3 observers were not served", Observers: [2]int{0, 3}, WordAgeMS: 40},
+			{Executor: 256, Verdict: "well", WordAgeMS: -1}})
+	}))
+	defer srv.Close()
+	at := strings.TrimPrefix(srv.URL, "http://")
+	out, err := typed(t, "verdicts", "show", "--console", at)
+	require.NoError(t, err)
+	assert.Regexp(t, `16094 +0 +left out +0.0 +0 % +0.0 +0:3 +40ms ago +- +3 of 3 observers were not served`, out)
+	assert.Contains(t, out, "1 of 2 executors are well")
+	assert.NotContains(t, out, "256")
+	out, err = typed(t, "verdicts", "show", "--all", "--console", at)
+	require.NoError(t, err)
+	assert.Contains(t, out, "256")
+	out, err = typed(t, "verdicts", "show", "--json", "--console", at)
+	require.NoError(t, err)
+	assert.True(t, json.Valid([]byte(out)))
+	_, err = typed(t, "verdicts", "show")
+	assert.ErrorContains(t, err, "name one by --console")
+	assert.Equal(t, 1, Code(err))
+	srv.Close()
+	_, err = typed(t, "verdicts", "show", "--console", at)
+	assert.ErrorContains(t, err, "refused")
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -48,10 +48,26 @@
 // Sources are what the console reads and steers. All fields are needed.
 type Sources struct {
 	CoreReady func() bool
-	Tell      func(oakthread.Roster)                     // the core's news of the list
-	Figures   func(ctx context.Context) Figures          // may block; bounded by ctx
-	Tally     func(fn func(class string, c, r, f int64)) // answers by class
-	Quiet     func(on bool)                              // out of service: close idle client connections
+	Tell      func(oakthread.Roster)                      // the core's news of the list
+	Figures   func(ctx context.Context) Figures           // may block; bounded by ctx
+	Tally     func(fn func(class string, c, r, f int64))  // answers by class
+	Quiet     func(on bool)                               // out of service: close idle client connections
+	Verdicts  func(ctx context.Context) ([]Verdict, bool) // bounded by ctx; false: the core did not answer in time
+}
+
+// Verdict is what the dispatcher holds of one executor, as /control/verdicts tells it.
+type Verdict struct {
+	Executor  decide.WorkerID `json:"executor"` // as the log names it
+	Zone      int             `json:"zone"`
+	Verdict   string          `json:"verdict"` // well, suspect, left out, on trial
+	Evidence  string          `json:"evidence"`
+	Served    float64         `json:"served_lately"` // own calls, decaying
+	Failed    float64         `json:"failed_latest"` // part of own latest calls
+	Pace      float64         `json:"pace"`          // time of its calls in the mean of all
+	Observers [2]int          `json:"observers"`     // of the last word: served, not served
+	WordAgeMS int64           `json:"word_age_ms"`   // -1: no word
+	TrialInMS int64           `json:"trial_in_ms"`   // 0: none is due
+	Unreached bool            `json:"unreachable"`   // from here
 }
 
 // Console holds the desk, its file and its server. Make it with New.
@@ -103,6 +119,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /control/ready", c.ready)
 	mux.HandleFunc("GET /control/counters", c.counters)
+	mux.HandleFunc("GET /control/verdicts", c.verdicts)
 	mux.HandleFunc("POST /control/executors/{id}/offline", c.executor(true))
 	mux.HandleFunc("POST /control/executors/{id}/online", c.executor(false))
 	mux.HandleFunc("POST /control/out-of-service", c.service(true))
@@ -206,6 +223,19 @@
 	_, _ = w.Write([]byte(b.String()))
 }
 
+// verdicts tells what is held of each executor, as JSON.
+func (c *Console) verdicts(w http.ResponseWriter, r *http.Request) {
+	ctx, done := context.WithTimeout(r.Context(), askCore)
+	defer done()
+	rows, ok := c.src.Verdicts(ctx)
+	if !ok {
+		http.Error(w, "the dispatcher is busy; ask again", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(rows)
+}
+
 // follow reads the file of bans whenever another process has changed it, until ctx ends.
 func (c *Console) follow(ctx context.Context) {
 	if c.path == "" {
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
@@ -24,6 +25,7 @@
 	mu    sync.Mutex
 	told  []oakthread.Roster
 	quiet bool
+	busy  bool
 }
 
 func (f *fake) sources() Sources {
@@ -33,6 +35,11 @@
 		Figures:   func(context.Context) Figures { return Figures{Attempts: 7, Pending: 2, Reloads: 1, Fails: 1} },
 		Tally:     func(fn func(string, int64, int64, int64)) { fn("call", 5, 1, 0) },
 		Quiet:     func(on bool) { f.mu.Lock(); f.quiet = on; f.mu.Unlock() },
+		Verdicts: func(context.Context) ([]Verdict, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return []Verdict{{Executor: 7, Verdict: "left out", Evidence: "3 of 3 observers were not served"}}, !f.busy
+		},
 	}
 }
 
@@ -137,3 +144,21 @@
 		conn.Close()
 	}
 }
+
+// What is held of executors is told as JSON, and a core that is busy is said to be.
+func TestVerdictsAreTold(t *testing.T) {
+	f := &fake{}
+	c := New(f.sources(), "", ids, slog.New(slog.DiscardHandler))
+	ask := func() *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		c.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/control/verdicts", nil))
+		return w
+	}
+	w := ask()
+	assert.Equal(t, 200, w.Code)
+	var rows []Verdict
+	assert.NoError(t, json.Unmarshal(w.Body.Bytes(), &rows))
+	assert.Equal(t, []Verdict{{Executor: 7, Verdict: "left out", Evidence: "3 of 3 observers were not served"}}, rows)
+	f.busy = true
+	assert.Equal(t, 503, ask().Code)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,8 @@
 				fn(class, o.Completed.Load(), o.Rejected.Load(), o.Failed.Load())
 			})
 		},
-		Quiet: func(on bool) { front.Quiet(on) },
+		Quiet:    func(on bool) { front.Quiet(on) },
+		Verdicts: func(ctx context.Context) ([]console.Verdict, bool) { return verdicts(ctx, core) },
 	}, console.BanFile(os.TempDir(), cfg.Listen), platform.WorkerID, log)
 	var keeper *kept.Keeper
 	if o.File != nil && o.File.List != nil {
@@ -334,6 +335,27 @@
 	return f
 }
 
+// verdicts is what the core holds of each executor, in the console's form; false: it did not answer in time.
+func verdicts(ctx context.Context, core *oakthread.Core) ([]console.Verdict, bool) {
+	got := make(chan []decide.Verdict, 1)
+	go func() { got <- core.Verdicts() }()
+	select {
+	case vs := <-got:
+		rows := make([]console.Verdict, 0, len(vs))
+		for _, v := range vs {
+			row := console.Verdict{Executor: v.Worker, Zone: v.Zone, Verdict: v.State.Verdict, Evidence: v.Evidence, Served: v.Good, Failed: v.Bad, Pace: v.Pace,
+				Observers: [2]int{int(v.Word.Good), int(v.Word.Bad)}, WordAgeMS: -1, TrialInMS: time.Duration(v.TrialIn).Milliseconds(), Unreached: v.Unreachable}
+			if v.WordAge >= 0 {
+				row.WordAgeMS = time.Duration(v.WordAge).Milliseconds()
+			}
+			rows = append(rows, row)
+		}
+		return rows, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // limits fits the run time to the machine.
 func limits(cfg *platform.Config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
--- a/internal/lab/verdicts.go
+++ b/internal/lab/verdicts.go
@@ -100,6 +100,11 @@
 	return nil
 }
 
+// Excused are the tries of a fault that are owed nothing: those at dispatchers that stood still, whose clients wait in vain.
+func Excused(fault string) func(Try) bool {
+	return func(t Try) bool { return fault == VerdictStopped && thirdOf(senderOf(t.ID)) }
+}
+
 // At counts the calls that came in a span to the boxes that pick names, of dispatchers that from names; spoilt: that failed.
 func (r *Rig) At(from, until time.Time, box, of func(int) bool) (came, spoilt int) {
 	for i, b := range r.Boxes {
@@ -218,7 +223,7 @@
 		return nil, err
 	}
 	r.Quiet()
-	x := &verdictsResult{Breaches: r.Check(nil)}
+	x := &verdictsResult{Breaches: r.Check(Excused(fault))}
 	whole := func(n int) bool { return fault != VerdictPartial && fault != VerdictStopped || !thirdOf(n) }
 	var calls []*Call
 	calls = append(calls, r.Calls(whole)...)
--- a/verdict/words.go
+++ b/verdict/words.go
@@ -14,11 +14,11 @@
 // the capacity.
 
 const (
-	markMost  = 15  // of calls, in a mark; and of observers, in a word
-	voteBad   = 6   // from so many fifteenths of failures on an observer counts as not served: its latest call there failed
-	paceUnit  = 4   // a pace is told in quarters of the mean time
-	slowPace  = 2.0 // from so many times the mean on an executor's pace is told
-	wordZ     = 1.5 // deviations of the interval: three of three observers, five of six, seven of nine are enough; two of two
+	markMost = 15  // of calls, in a mark; and of observers, in a word
+	voteBad  = 6   // from so many fifteenths of failures on an observer counts as not served: its latest call there failed
+	paceUnit = 4   // a pace is told in quarters of the mean time
+	slowPace = 2.0 // from so many times the mean on an executor's pace is told
+	wordZ    = 1.5 // deviations of the interval: three of three observers, five of six, seven of nine are enough; two of two
 	// are not, for where one call in a hundred fails by chance that comes about every some minutes
 	wordLimit = 0.5 // above it a call is more likely spoilt than served: what a wrong ejection costs, another's load, is less
 	wordAims  = 4   // shortest aims after which a failure is no vote any more, and between two trials of what words leave out
