--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -105,7 +105,10 @@
 // the evidence, for the log; it is empty where nothing has.
 func (j *Judge) Failed(now int64, b *Box, w Weight) string {
 	if w == Failure {
-		b.seen.failed, b.seen.failedAt = now, true
+		b.seen.run, b.seen.failed = b.seen.run+1, now
+	}
+	if w == Hint {
+		b.seen.odd = now
 	}
 	if !j.failed(now, b, w) {
 		return ""
--- a/verdict/words.go
+++ b/verdict/words.go
@@ -30,7 +30,7 @@
 // Mark is what one observer tells of an executor.
 type Mark struct {
 	Good uint8 // calls that it served lately, 15 at the most
-	Bad  uint8 // how much of the latest failed, in fifteenths; 0 once the last failure is some time ago
+	Bad  uint8 // calls in a row that failed since the last one served, 15 at the most; 0 once the last failure is some time ago
 	Pace uint8 // the time its calls took there, in quarters of the mean of all; 0: not slow
 }
 
@@ -43,15 +43,16 @@
 
 // seen is what we saw of an executor ourselves.
 type seen struct {
-	good     float64 // calls served, decaying
-	at       int64
-	failed   int64 // when the last one failed
-	failedAt bool  // one has
+	good   float64 // calls served, decaying
+	at     int64
+	run    int   // calls that failed since the last one served
+	failed int64 // when the last one did
+	odd    int64 // when something last went wrong there that may not be its fault; 0: never
 }
 
 // served counts one call more; forget is the time constant.
 func (s *seen) served(now, forget int64) {
-	s.good, s.at = s.lately(now, forget)+1, now
+	s.good, s.at, s.run = s.lately(now, forget)+1, now, 0
 }
 
 func (s *seen) lately(now, forget int64) float64 {
@@ -61,19 +62,21 @@
 // forget is the time constant of evidence.
 func (j *Judge) forget() int64 { return longest * j.aim }
 
-// Mark is what we have to tell of b, whose calls take pace times as long as the mean: evidence against it, or where a verdict
-// by words stands, that it has served us since. false: nothing.
+// Mark is what we have to tell of b, whose calls take pace times as long as the mean: evidence against it, nothing at all
+// where it answered with what may not be its fault, so that the answer does not count for it, or where a verdict by words
+// stands, that it has served us since. false: nothing.
 func (j *Judge) Mark(now int64, b *Box, pace float64) (m Mark, ok bool) {
-	if !j.Bound(now, b) || b.seen.at >= b.since {
+	odd := b.seen.odd > b.seen.at && now-b.seen.odd < wordAims*j.aim
+	if !odd && now-b.seen.at < wordAims*j.aim && (!j.Bound(now, b) || b.seen.at >= b.since) {
 		m.Good = uint8(min(math.Round(b.seen.lately(now, j.forget())), markMost))
 	}
-	if b.seen.failedAt && now-b.seen.failed < wordAims*j.aim {
-		m.Bad = uint8(math.Round(markMost * b.mean))
+	if now-b.seen.failed < wordAims*j.aim {
+		m.Bad = uint8(min(b.seen.run, markMost))
 	}
 	if pace >= slowPace {
 		m.Pace = uint8(min(pace*paceUnit, 255))
 	}
-	return m, m.Bad >= voteBad || m.Pace > 0 || j.Bound(now, b) && m.Good > 0 && b.mean < failHealed
+	return m, m.Bad > 0 || m.Pace > 0 || odd || j.Bound(now, b) && m.Good > 0
 }
 
 // Doubts tells whether one that hears so many executors and finds so many silent must take itself to be the cause: its word
@@ -86,7 +89,7 @@
 	var paces []uint8
 	for _, m := range marks {
 		switch {
-		case m.Bad >= voteBad:
+		case m.Bad > 0:
 			w.Bad = min(w.Bad+1, markMost)
 		case m.Good > 0 || m.Pace > 0:
 			w.Good = min(w.Good+1, markMost)
@@ -130,8 +133,8 @@
 
 // Words takes the words of a digest; all: the weight of all executors. Of those that words would leave out, the worst are,
 // up to a quarter of the capacity with those of digests before that still stand. A verdict that stands is renewed by any word
-// against it, for then one executor is tried by one observer at a time, and ends with the first word that more observers
-// were served than not. The texts are for the log, in the order of told; empty where nothing has changed.
+// against it, for then one executor is tried by one observer at a time, and ends with the first word that two observers or
+// more were served, and more than not. The texts are for the log, in the order of told; empty where nothing has changed.
 func (j *Judge) Words(now int64, told []Told, all float64) (news []string) {
 	order := make([]int, len(told))
 	for i := range order {
@@ -143,7 +146,7 @@
 		b, stood := t.Box, j.Bound(now, t.Box)
 		b.word, b.wordAt = t.Word, now
 		switch {
-		case stood && t.Word.Good > t.Word.Bad:
+		case stood && t.Word.Good > max(1, t.Word.Bad):
 			b.boundAt = 0
 			news[i] = fmt.Sprintf("back by words: %d of %d observers were served", t.Word.Good, t.Word.observers())
 		case stood && t.Word.Bad > 0:
@@ -175,7 +178,7 @@
 // ByWords tells whether b is left out for what others saw: until the words fade, and not against a call that it served us at
 // most one shortest aim before.
 func (j *Judge) ByWords(now int64, b *Box) bool {
-	return j.Bound(now, b) && (b.seen.good == 0 || b.seen.at < b.since-j.aim || b.mean > failHealed)
+	return j.Bound(now, b) && (b.seen.good == 0 || b.seen.at < b.since-j.aim || b.seen.run > 0)
 }
 
 // State is what is held of one executor, for operators.
