--- a/internal/lab/verdicts.go
+++ b/internal/lab/verdicts.go
@@ -105,10 +105,15 @@
 	return func(t Try) bool { return fault == VerdictStopped && thirdOf(senderOf(t.ID)) }
 }
 
-// At counts the calls that came in a span to the boxes that pick names, of dispatchers that from names; spoilt: that failed.
+// At counts the calls that came in a span to the boxes that box names, and to those that stood at their addresses before, from
+// the dispatchers that of names; spoilt: those that failed.
 func (r *Rig) At(from, until time.Time, box, of func(int) bool) (came, spoilt int) {
+	place := map[string]int{}
 	for i, b := range r.Boxes {
-		if !box(i) {
+		place[b.Addr] = i
+	}
+	for _, b := range append(append([]*BoxServer(nil), r.Gone...), r.Boxes...) {
+		if !box(place[b.Addr]) {
 			continue
 		}
 		calls, _ := b.Seen()
--- a/verdict/words_test.go
+++ b/verdict/words_test.go
@@ -1,6 +1,7 @@
 package verdict
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -171,3 +172,83 @@
 		}
 	})
 }
+
+// Every mark of one observer beside every two of others: alone it never leaves out an executor, nor does it bring one back
+// that three were not served by.
+func TestExhaustiveOneObserver(t *testing.T) {
+	n := 0
+	for good := range uint8(4) {
+		for bad := range uint8(4) {
+			for _, pace := range []uint8{0, 4, 32, 255} {
+				one := Mark{good, bad, pace}
+				for heard := range 4 {
+					for others := range 9 {
+						n++
+						marks := []Mark{one, {Good: uint8(others % 3)}, {Good: uint8(others / 3)}}
+						j, b := New(aim, true), &Box{}
+						w := Pool(marks, heard)
+						j.Words(1, []Told{{b, 1, w}}, 100)
+						if j.Bound(1, b) {
+							t.Fatalf("%+v alone, %d heard, others %+v: left out by %+v", one, heard, marks[1:], w)
+						}
+						j.Words(2, []Told{{b, 1, Word{Bad: 3}}}, 100)
+						j.Words(3, []Told{{b, 1, Pool([]Mark{one}, 0)}}, 100)
+						if !j.Bound(3, b) {
+							t.Fatalf("%+v alone brings back what three were not served by", one)
+						}
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%d cases", n)
+}
+
+// What one end of a call, one executor's mark, one pool and one digest's words cost.
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range []int{10, 60, 120} {
+		j, boxes := New(aim, true), make([]Box, n)
+		told := make([]Told, 0, 12)
+		for i := range min(n, 12) {
+			told = append(told, Told{&boxes[i], 1, Word{Good: uint8(i), Bad: 5}})
+		}
+		b.Run(fmt.Sprintf("end_%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				x := &boxes[i%n]
+				j.Answered(int64(i), x, i%2)
+				if i%100 == 0 {
+					j.Failed(int64(i), x, Failure)
+				} else {
+					j.Succeeded(int64(i), x)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("marks_%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				for k := range boxes {
+					j.Mark(int64(i), &boxes[k], 1)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("words_%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				j.Words(int64(i), told, float64(n))
+			}
+		})
+	}
+	for _, n := range []int{5, 80, 300} {
+		marks := make([]Mark, n)
+		for i := range marks {
+			marks[i] = Mark{uint8(i % 3), uint8(i % 2), uint8(i % 40)}
+		}
+		b.Run(fmt.Sprintf("pool_%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				Pool(marks, 3)
+			}
+		})
+	}
+}
