Pass the turns of dispatchers that are gone to those that are there

Seen with six processes, four killed at once: the two left hear nothing of each other for 2.4 and 4.9 s, as hubs are drawn from all siblings, the dead with them (tell), and every term of a dead hub is lost; so are trials whose turn a dead one has (trialDue).

Changed: package turns (pure): a dispatcher is there while a digest of the last two terms covers it; turns are drawn among those by rendezvous hashing; a term has one collector; who heard nothing goes by the settings. decide asks it for the hub and for trials.

--- a/cmd/oakthread/fleet_test.go
+++ b/cmd/oakthread/fleet_test.go
@@ -272,3 +272,33 @@
 		})
 	}
 }
+
+// What only one should do, collect reports, passes to those that are left: four of six are killed at once, and from three terms
+// later on no term goes by in which the two others do not hear each other.
+func TestTurnsPassToTheLiving(t *testing.T) {
+	r := fleet(t, lab.RigSize{Dispatchers: 6, Boxes: 12, Zones: 3, Seed: 4, Load: lab.Load{Rate: 40, Models: 60, Zipf: 0.4, Retries: 1}})
+	living := func(n int) bool { return n == 1 || n == 4 }
+	ctx, enough := context.WithCancel(t.Context())
+	defer enough()
+	r.Send(ctx, living)
+	span(t, 3*time.Second)
+	for n, d := range r.Nodes {
+		if !living(n) {
+			require.NoError(t, d.Kill())
+		}
+	}
+	term := 2 * r.Figures.Classes[0].Aim
+	from := span(t, 3*term)
+	end := span(t, 8*term)
+	enough()
+	r.Quiet()
+	last, gap := from, time.Duration(0)
+	for _, x := range r.Words.Seen() {
+		if living(x.From) && living(x.To) && x.At.After(from) && x.At.Before(end) {
+			last, gap = x.At, max(gap, x.At.Sub(last))
+		}
+	}
+	t.Logf("longest time without a word: %s", gap)
+	assert.Less(t, max(gap, end.Sub(last)), 3*term/2)
+	assert.Zero(t, r.Check(nil).Sum(), "%+v", r.Check(nil))
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -710,11 +710,12 @@
 
 // trialDue: a worker that nobody hears is tried by a few dispatchers in turn, one that serves nobody by one.
 func (d *Dispatcher) trialDue(now int64, w *worker, r *request) bool {
-	n := uint64(d.set.Siblings)
-	turn := (mix(uint64(w.Worker)+uint64(now)/uint64(d.tau()))%n + uint64(d.set.Number)) % n
-	mine := turn == 0 || turn < few && !d.judge.ByWords(now, &w.health)
+	k, key := int(few), mix(uint64(w.Worker)+uint64(now)/uint64(d.tau()))
+	if d.judge.ByWords(now, &w.health) {
+		k = 1
+	}
 	return d.judge.Due(now, &w.health, w.Zone) && len(w.open) == 0 && len(r.tries) == 0 &&
-		(r.class.Effect == Safe || !d.safe) && (mine || !d.told(now, w))
+		(r.class.Effect == Safe || !d.safe) && (!d.told(now, w) || d.roll.Turn(now, key, k))
 }
 
 // ---- Cold budget (rule 4). All dispatchers together may send a started worker the stated multiple of what
@@ -940,7 +941,7 @@
 		d.host.Tell(to, commons.Message{Hello: true, GoesOn: true}.Texts(0)[0])
 	}
 	term := hubAims * d.minAim
-	hub := int(mix(uint64(now/term)) % uint64(d.set.Siblings))
+	hub := d.roll.Collector(now)
 	m := commons.Message{Hub: hub == d.set.Number, Calls: d.calls}
 	d.shared.Own(d.figures(now))
 	d.view = d.shared.View(now, d.kept()+served)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1094,8 +1094,7 @@
 	d.greeted = helloPeers
 	term := hubAims * d.minAim
 	for at := 10*term + 300*ms; ; at += term {
-		hub := int(mix(uint64(at/term)) % 300)
-		if hub != s.Number {
+		if d.roll.Collector(at) != s.Number {
 			continue
 		}
 		for from := 1; from < 300; from++ { // each took some three calls
--- a/decide/state.go
+++ b/decide/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"oakthread/commons"
+	"oakthread/turns"
 	"oakthread/verdict"
 )
 
@@ -66,6 +67,7 @@
 	lost           float64        // share of answers that never come, from workers that answer others
 	shared         *commons.Table // what each has of the figures below, and their sums
 	view           commons.View   // as of the last round
+	roll           *turns.Roll    // who is there, and whose turn it is
 	sorted         []float64      // scratch for a middle
 	digestAt       int64
 	logAt          int64
@@ -560,6 +562,9 @@
 			return
 		}
 		d.view = d.shared.View(now, d.kept()+served)
+		if d.many() > 1 { // of few, one digest lost changes who is there more often than death does
+			d.roll.Told(now, m.Sum.Covered)
+		}
 		d.takeWords(now, m.Marks)
 		for _, w := range d.list {
 			if !m.Sum.Short {
@@ -772,6 +777,7 @@
 		d.tenants = append(d.tenants, tenant{})
 	}
 	d.judge = verdict.New(d.minAim, d.many() > 1)
+	d.roll = turns.New(s.Number, d.set.Siblings, hubAims*d.minAim)
 	d.shared = commons.New(now, commons.Settings{Number: s.Number, Siblings: d.set.Siblings, Figures: d.kept() + 2, Passing: 1, Term: hubAims * d.minAim,
 		Tick: d.set.Quantum, Forget: forgetTaus * int64(d.tau())})
 	d.loads = stat{usualLoad * float64(d.minAim), usualLoad / 2 * float64(d.minAim)}
@@ -876,6 +882,7 @@
 		d.asked = append(d.asked, 0)
 	}
 	d.judge.Pace(d.minAim)
+	d.roll.Pace(hubAims * d.minAim)
 	d.arm()
 	return first, nil
 }
