--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,8 @@
 	bin/oaklab run kept-size --quick
 	bin/oaklab run fleet --quick
 	bin/oaklab run comeback --quick
+	bin/oaklab run mesh --quick
+	bin/oaklab run verdicts --quick
 
 # The records of the kept list, after a change of kept.proto; needs protoc and protoc-gen-go.
 proto:
