--- a/cmd/oaklab/main.go
+++ b/cmd/oaklab/main.go
@@ -60,6 +60,7 @@
 	c.Flags().StringVar(&o.Plots, "plots", "", "folder that plots are written to")
 	c.Flags().StringVar(&out, "json", "", "file that the report is written to")
 	c.Flags().StringVar(&o.Before, "before", "", "the older version beside ours where there is one: a commit or a program")
+	c.Flags().StringVar(&o.Only, "only", "", "of the faults of mesh or verdicts, those whose name holds this")
 	keep := c.Flags().Bool("keep", false, "leave the run's files, with the dispatchers' logs, and say where they are")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		clean, err := lab.Scratch(&o)
--- a/internal/lab/keptlist.go
+++ b/internal/lab/keptlist.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,9 +27,24 @@
 	Dir    string               // for files of the run
 	Plots  string               // folder for plots; empty: none
 	Before string               // the older version set beside this one, a commit or a program; empty: the experiment's own
+	Only   string               // of an experiment's faults, those whose name holds this; empty: all
 	Log    func(string, ...any) // progress
 }
 
+// pick are the faults that a run is to have.
+func (o *Options) pick(faults []string) ([]string, error) {
+	var out []string
+	for _, f := range faults {
+		if strings.Contains(f, o.Only) {
+			out = append(out, f)
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("no fault holds %q: there are %q", o.Only, faults)
+	}
+	return out, nil
+}
+
 type keptSize struct {
 	dispatchers, boxes     int
 	rate                   float64 // calls a second, all together
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -247,6 +247,10 @@
 		sizes, boxes, seeds, faults = []int{6}, 2, 1, []string{MeshHalves, MeshUnheard}
 		spans = meshSpans{4 * time.Second, 2 * time.Second, 2 * time.Second, 5 * time.Second, 3 * time.Second}
 	}
+	faults, err := o.pick(faults)
+	if err != nil {
+		return nil, err
+	}
 	programs, err := both(ctx, o, meshBefore)
 	if err != nil {
 		return nil, err
--- a/internal/lab/verdicts.go
+++ b/internal/lab/verdicts.go
@@ -164,6 +164,10 @@
 	if o.Quick {
 		sizes, boxes, seeds, faults = []int{6}, 12, 1, []string{VerdictFails, VerdictPartial}
 	}
+	faults, err := o.pick(faults)
+	if err != nil {
+		return nil, err
+	}
 	programs, err := both(ctx, o, verdictsBefore)
 	if err != nil {
 		return nil, err
