--- a/decide/state.go
+++ b/decide/state.go
@@ -12,9 +12,10 @@
 	"oakthread/verdict"
 )
 
-const heardAims = 2 // shortest aims for which a worker that answered counts as heard, where one asks whether the fault is its own
-
-const forgetTaus = 20 // tau: the time constant with which a dispatcher that is not heard is forgotten
+const (
+	heardAims  = 2  // shortest aims for which a worker that answered counts as heard, where one asks whether the fault is its own
+	forgetTaus = 20 // tau: the time constant with which a dispatcher that is not heard is forgotten
+)
 
 // State of the Dispatcher, its events' bookkeeping and plain helpers. Nothing here decides.
 
@@ -395,6 +396,7 @@
 			d.warm++
 		}
 		w.peers = slices.DeleteFunc(w.peers, func(p peerCount) bool { return now-p.at > 2*d.minAim })
+		w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return now-p.at > hubAims*d.minAim })
 		keep := w.ghosts[:0]
 		for _, g := range w.ghosts {
 			if g.until > now {
@@ -554,8 +556,8 @@
 	h.until = max(h.until, now+d.set.KeepAlive)
 }
 
-// learnDigest takes the sums over all dispatchers: what a first part leaves out is idle, but of a short one. Calls at a worker are told of those
-// that the sums cover; the others are taken to have as many there, by their answers.
+// learnDigest takes the sums over all dispatchers: what a first part leaves out is idle, but of a short one. Calls at a
+// worker are told of those that the sums cover; the others are taken to have as many there, by their answers.
 func (d *Dispatcher) learnDigest(now int64, from int, m commons.Message) {
 	if !m.GoesOn {
 		if !d.shared.Told(now, from, m.Sum) {
@@ -806,7 +808,7 @@
 		if d.quiet(now, w) { // what is stuck on its way is no load there
 			c.N = 0
 		}
-		mark, says := d.judge.Mark(now, &w.health, 1+(w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep())))
+		mark, says := d.judge.Mark(now, &w.health, d.slow(now, w))
 		if says = says && sure; m.Hub {
 			mark, says = d.pooled(now, w, &c, mark, says)
 		}
@@ -826,6 +828,11 @@
 	}
 }
 
+// slow is how many times longer calls at w's loaded copies take than at all, fading to 1.
+func (d *Dispatcher) slow(now int64, w *worker) float64 {
+	return 1 + (w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
+}
+
 // pooled adds to what we have at w what others reported, and makes a word of all marks, each observer one.
 func (d *Dispatcher) pooled(now int64, w *worker, c *commons.Count, own verdict.Mark, says bool) (verdict.Mark, bool) {
 	silent, heard, marks := 0, 0, make([]verdict.Mark, 0, len(w.marks)+1)
@@ -854,7 +861,7 @@
 			}
 		}
 	}
-	c.Silent = silent >= min(2, d.set.Siblings-1) // one alone may be cut off, or have stood still
+	c.Silent = verdict.Silent(silent, d.set.Siblings)
 	stands := d.judge.Bound(now, &w.health)
 	if stands { // an answer may be of before: what has served since is told by marks
 		heard = 0
@@ -918,7 +925,7 @@
 // Verdicts lists what is held of each listed worker, in the order of the list. It changes nothing that is decided.
 func (d *Dispatcher) Verdicts(now int64) (out []Verdict) {
 	for _, w := range d.list {
-		pace := 1 + (w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
+		pace := d.slow(now, w)
 		v := Verdict{w.Worker, w.Zone, pace, d.told(now, w) && !d.judge.ByWords(now, &w.health), d.judge.State(now, &w.health, w.Zone, pace)}
 		if v.Silent && v.State.Verdict == "well" {
 			v.State.Verdict, v.Evidence = "left out", "several found it silent, and nobody had an answer"
--- a/verdict/words.go
+++ b/verdict/words.go
@@ -83,6 +83,10 @@
 // weighs nothing then.
 func Doubts(heard, silent int) bool { return silent > 1 && silent >= doubtRate*heard }
 
+// Silent tells whether so many observers that find an executor silent are enough for all: one alone may be cut off, or have
+// stood still. Of two dispatchers the other one is all there is.
+func Silent(observers, dispatchers int) bool { return observers >= max(1, min(2, dispatchers-1)) }
+
 // Pool makes a word of the marks of several observers, one each; heard: observers that told no mark and had an answer.
 func Pool(marks []Mark, heard int) (w Word) {
 	w.Good = uint8(min(heard, markMost))
--- a/verdict/words_test.go
+++ b/verdict/words_test.go
@@ -30,6 +30,8 @@
 	assert.Zero(t, Pool([]Mark{{Pace: 200}}, 9).Pace, "one alone")
 	assert.Zero(t, Pool([]Mark{{Good: 3, Pace: 200}, {Good: 9}, {Good: 9}}, 0).Pace, "slow for one, not for others")
 	assert.Equal(t, 8.0, Pool([]Mark{{Good: 3, Pace: 32}, {Good: 2, Pace: 40}, {Good: 1}, {Good: 1, Pace: 32}}, 0).Slow())
+	assert.False(t, Silent(1, 3) || Silent(1, 300) || Silent(0, 1))
+	assert.True(t, Silent(1, 2) && Silent(2, 3))
 	assert.True(t, Doubts(1, 3))
 	assert.False(t, Doubts(3, 8), "a lost zone may be most of them")
 	assert.False(t, Doubts(0, 1), "one executor says nothing of us")
