--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	bin/oaklab run comeback --quick
 	bin/oaklab run mesh --quick
 	bin/oaklab run verdicts --quick
+	bin/oaklab run turns --quick
 
 # The records of the kept list, after a change of kept.proto; needs protoc and protoc-gen-go.
 proto:
--- a/cmd/oakthread/fleet_test.go
+++ b/cmd/oakthread/fleet_test.go
@@ -292,13 +292,8 @@
 	end := span(t, 8*term)
 	enough()
 	r.Quiet()
-	last, gap := from, time.Duration(0)
-	for _, x := range r.Words.Seen() {
-		if living(x.From) && living(x.To) && x.At.After(from) && x.At.Before(end) {
-			last, gap = x.At, max(gap, x.At.Sub(last))
-		}
-	}
+	gap := lab.Silence(r.Words.Seen(), living, from, end)
 	t.Logf("longest time without a word: %s", gap)
-	assert.Less(t, max(gap, end.Sub(last)), 3*term/2)
+	assert.Less(t, gap, 3*term/2)
 	assert.Zero(t, r.Check(nil).Sum(), "%+v", r.Check(nil))
 }
--- a/internal/lab/experiments.go
+++ b/internal/lab/experiments.go
@@ -17,5 +17,6 @@
 		{"comeback", "Ways between processes are cut and come back, with the program before and after", Comeback},
 		{"mesh", "Tenants' shares while parts of the fleet do not hear each other, with the program before and after", RunMesh},
 		{"verdicts", "Boxes that fail, are slow, die or are out of reach for some, with the program before and after", RunVerdicts},
+		{"turns", "What one dispatcher does for all while others die, stand still, are cut off or come later, before and after", RunTurns},
 	}
 }
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -269,8 +269,10 @@
 				seed := o.Seed + uint64(s)
 				name := fmt.Sprintf("%d, seed %d, %s: ", n, seed, fault)
 				o.Log("%s", name)
-				pair, err := meshPair(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d", n, i, s)), fault,
-					MeshSize{Dispatchers: n, Boxes: boxes, Slow: 1, Seed: seed, Debug: true}, programs, spans)
+				pair, err := beside(func(arm int) (*meshResult, error) {
+					return meshArm(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
+						MeshSize{Dispatchers: n, Boxes: boxes, Slow: 1, Seed: seed, Debug: true, Group: arm, Program: programs[arm]}, spans)
+				})
 				if err != nil {
 					return nil, fmt.Errorf("%s%w", name, err)
 				}
@@ -281,23 +283,6 @@
 	return rep, nil
 }
 
-// meshPair runs a fault under both programs.
-func meshPair(ctx context.Context, net *Net, dir, fault string, size MeshSize, programs [2]Program, spans meshSpans) (pair [2]*meshResult, err error) {
-	errs := make(chan error, len(pair))
-	for arm := range pair {
-		go func() {
-			s := size
-			s.Group, s.Program = arm, programs[arm]
-			var err error
-			if pair[arm], err = meshArm(ctx, net, filepath.Join(dir, fmt.Sprint(arm)), fault, s, spans); err != nil {
-				err = fmt.Errorf("program %d: %w", arm, err)
-			}
-			errs <- err
-		}()
-	}
-	return pair, errors.Join(<-errs, <-errs)
-}
-
 func meshArm(ctx context.Context, net *Net, dir, fault string, size MeshSize, spans meshSpans) (*meshResult, error) {
 	m, err := NewMesh(net, dir, size)
 	if err != nil {
--- /dev/null
+++ b/internal/lab/turns.go
@@ -0,0 +1,220 @@
+package lab
+
+// This file owns the experiment turns: what only one dispatcher should do while others die, stand still, are cut off or come
+// later, under real processes of the program before and after a change. It counts what crossed the datagrams' ways.
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// turnsBefore is the commit before turns of those that are gone passed on.
+const turnsBefore = "1ee320a"
+
+// Faults of a fleet whose dispatchers take turns.
+const (
+	TurnsKilled  = "two thirds are killed at once"
+	TurnsStopped = "a third stands still for 3 s"
+	TurnsHalves  = "two halves that don't hear each other"
+	TurnsGrown   = "half of the fleet starts later"
+)
+
+// TurnsFaults lists them.
+func TurnsFaults() []string { return []string{TurnsKilled, TurnsStopped, TurnsHalves, TurnsGrown} }
+
+const (
+	turnsSettle = 3  // terms after a fault began, before turns are counted
+	turnsCount  = 8  // terms in which they are
+	burst       = 20 // milliseconds in which one message to all goes out
+)
+
+// turnsResult is what one run came to.
+type turnsResult struct {
+	Breaches
+	silence    float64 // longest time, in terms, in which nobody who stays said a word to another
+	idle       float64 // part of the terms in which no one told all
+	calm, late float64 // calls served at those who stay
+}
+
+// Told lists when one dispatcher told most others, and which, from what crossed the ways.
+func Told(seen []Datagram, dispatchers int) (digests []Datagram) {
+	byFrom := make([][]Datagram, dispatchers)
+	for _, x := range seen {
+		byFrom[x.From] = append(byFrom[x.From], x)
+	}
+	for _, sent := range byFrom {
+		for i := 0; i < len(sent); {
+			to, j := map[int]bool{}, i
+			for ; j < len(sent) && sent[j].At.Sub(sent[i].At) < burst*time.Millisecond; j++ {
+				to[sent[j].To] = true
+			}
+			if len(to) > dispatchers/2 {
+				digests = append(digests, sent[i])
+				i = j
+			} else {
+				i++
+			}
+		}
+	}
+	slices.SortFunc(digests, func(a, b Datagram) int { return a.At.Compare(b.At) })
+	return digests
+}
+
+// Silence is the longest time in a span without a word among the dispatchers that stay names.
+func Silence(seen []Datagram, stay func(int) bool, from, until time.Time) (most time.Duration) {
+	last := from
+	for _, x := range seen {
+		if stay(x.From) && stay(x.To) && x.At.After(from) && x.At.Before(until) {
+			last, most = x.At, max(most, x.At.Sub(last))
+		}
+	}
+	return max(most, until.Sub(last))
+}
+
+// RunTurns runs the experiment.
+func RunTurns(ctx context.Context, o Options) (*Report, error) {
+	sizes, boxes, seeds := []int{12, 24}, 24, 3
+	if o.Quick {
+		sizes, boxes, seeds = []int{6}, 12, 1
+	}
+	faults, err := o.pick(TurnsFaults())
+	if err != nil {
+		return nil, err
+	}
+	programs, err := both(ctx, o, turnsBefore)
+	if err != nil {
+		return nil, err
+	}
+	net, err := ClaimNet()
+	if err != nil {
+		return nil, err
+	}
+	defer net.Close()
+	rep := &Report{Name: "turns", Seed: o.Seed, Arms: []string{"before", "after"}, Note: fmt.Sprintf(
+		"%d dispatchers (processes), %d boxes, %d calls/s a box; counted from %d to %d terms after the fault; before: commit %s; seeds from %d on", sizes, boxes,
+		fleetCalls, turnsSettle, turnsSettle+turnsCount, cmp.Or(o.Before, turnsBefore), o.Seed)}
+	for _, n := range sizes {
+		for i, fault := range faults {
+			for s := range seeds {
+				name := fmt.Sprintf("%d, seed %d, %s: ", n, o.Seed+uint64(s), fault)
+				o.Log("%s", name)
+				pair, err := beside(func(arm int) (*turnsResult, error) {
+					return turnsArm(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
+						RigSize{Dispatchers: n, Boxes: boxes, Program: programs[arm], Group: arm, Seed: o.Seed + uint64(s)})
+				})
+				if err != nil {
+					return nil, fmt.Errorf("%s%w", name, err)
+				}
+				turnsReport(rep, name, pair)
+			}
+		}
+	}
+	return rep, nil
+}
+
+// beside runs both arms of an experiment at the same time.
+func beside[T any](run func(arm int) (*T, error)) (pair [2]*T, err error) {
+	errs := make(chan error, len(pair))
+	for arm := range pair {
+		go func() {
+			var err error
+			if pair[arm], err = run(arm); err != nil {
+				err = fmt.Errorf("program %d: %w", arm, err)
+			}
+			errs <- err
+		}()
+	}
+	return pair, errors.Join(<-errs, <-errs)
+}
+
+func turnsArm(ctx context.Context, net *Net, dir, fault string, size RigSize) (*turnsResult, error) {
+	r, err := NewVerdicts(net, dir, size)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	stays := func(n int) bool { return fault != TurnsKilled && fault != TurnsStopped || n%3 == 0 }
+	if fault == TurnsStopped {
+		stays = func(n int) bool { return !thirdOf(n) }
+	}
+	first := func(n int) bool { return fault != TurnsGrown || n%2 == 0 }
+	ready, done := context.WithTimeout(ctx, 20*time.Second)
+	defer done()
+	if err := r.Start(ready, first); err != nil {
+		return nil, err
+	}
+	going, enough := context.WithCancel(ctx)
+	defer enough()
+	r.Send(going, func(n int) bool { return stays(n) && first(n) })
+	if err := sleepUntil(ctx, time.Now().Add(4*time.Second)); err != nil {
+		return nil, err
+	}
+	began, term := time.Now(), hubTerm*r.Figures.Classes[0].Aim
+	switch fault {
+	case TurnsKilled:
+		err = r.each(func(n int) bool { return !stays(n) }, (*Dispatcher).Kill)
+	case TurnsStopped:
+		err = r.Signal(syscall.SIGSTOP, thirdOf)
+		time.AfterFunc(3*time.Second, func() { _ = r.Signal(syscall.SIGCONT, thirdOf) })
+	case TurnsHalves:
+		r.Words.Set(Lost, func(from, to int) bool { return meshHalf(from) != meshHalf(to) })
+	case TurnsGrown:
+		if err = r.Start(ready, func(n int) bool { return !first(n) }); err == nil {
+			r.Send(going, func(n int) bool { return !first(n) })
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	from := began.Add(turnsSettle * term)
+	end := from.Add(turnsCount * term)
+	if err := sleepUntil(ctx, end); err != nil {
+		return nil, err
+	}
+	enough()
+	r.Quiet()
+	x := &turnsResult{Breaches: r.Check(func(t Try) bool { return !stays(senderOf(t.ID)) })}
+	seen := r.Words.Seen()
+	x.silence = Silence(seen, stays, from, end).Seconds() / term.Seconds()
+	told := make([]bool, turnsCount)
+	for _, d := range Told(seen, size.Dispatchers) {
+		if i := int(d.At.Sub(from) / term); stays(d.From) && d.At.After(from) && i < len(told) {
+			told[i] = true
+		}
+	}
+	for _, ok := range told {
+		if !ok {
+			x.idle += 1.0 / turnsCount
+		}
+	}
+	x.calm, x.late = Served(r.Calls(stays), began.Add(-2*time.Second), began, nil), Served(r.Calls(stays), from, end, nil)
+	if fault == TurnsKilled {
+		return x, nil
+	}
+	if err := r.Stop(); err != nil {
+		return nil, fmt.Errorf("a dispatcher did not end well: %w", err)
+	}
+	return x, nil
+}
+
+func turnsReport(rep *Report, name string, both [2]*turnsResult) {
+	row := func(what, unit string, of func(*turnsResult) float64) {
+		rep.Row(name+what, unit, of(both[0]), of(both[1]))
+	}
+	row("longest time without a word among those who stay", "terms", func(r *turnsResult) float64 { return r.silence })
+	row("terms in which nobody told all", "of all", func(r *turnsResult) float64 { return r.idle })
+	row("calls served before", "", func(r *turnsResult) float64 { return r.calm })
+	row("calls served after", "", func(r *turnsResult) float64 { return r.late })
+	is := both[1]
+	rep.Most(name+"breaches of the rules", float64(is.Sum()), 0)
+	rep.Most(name+"longest time without a word, terms", is.silence, 1.5)
+	rep.Most(name+"terms in which nobody told all", is.idle, 1.0/turnsCount)
+	rep.Least(name+"calls served, of those before", is.late/math.Max(is.calm, 1e-9), 0.97)
+}
--- a/internal/lab/verdicts.go
+++ b/internal/lab/verdicts.go
@@ -185,17 +185,11 @@
 			for s := range seeds {
 				name := fmt.Sprintf("%d, seed %d, %s: ", n, o.Seed+uint64(s), fault)
 				o.Log("%s", name)
-				var pair [2]*verdictsResult
-				errs := make(chan error, len(pair))
-				for arm := range pair {
-					go func() {
-						var err error
-						dir := filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm))
-						pair[arm], err = verdictsArm(ctx, net, dir, fault, RigSize{Dispatchers: n, Boxes: boxes, Program: programs[arm], Group: arm, Seed: o.Seed + uint64(s)})
-						errs <- err
-					}()
-				}
-				if err := errors.Join(<-errs, <-errs); err != nil {
+				pair, err := beside(func(arm int) (*verdictsResult, error) {
+					return verdictsArm(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
+						RigSize{Dispatchers: n, Boxes: boxes, Program: programs[arm], Group: arm, Seed: o.Seed + uint64(s)})
+				})
+				if err != nil {
 					return nil, fmt.Errorf("%s%w", name, err)
 				}
 				verdictsReport(rep, name, fault, pair)
--- a/internal/lab/ways_test.go
+++ b/internal/lab/ways_test.go
@@ -156,3 +156,15 @@
 	assert.Equal(t, 1, Oversize([]Datagram{{Bytes: 256}, {Bytes: 257}}))
 	assert.InDelta(t, 20, BytesACall([]Datagram{{At: t0, Bytes: 90}, {At: t0.Add(ms(5)), Bytes: 40}}, 2, t0, t0.Add(time.Second)), 1e-9)
 }
+
+// A message to most others at once is told to all; a time without a word is found also at the span's end.
+func TestToldAndSilence(t *testing.T) {
+	at := time.Unix(1000, 0)
+	ms := func(n int) time.Time { return at.Add(time.Duration(n) * time.Millisecond) }
+	seen := []Datagram{{ms(0), 0, 1, 9}, {ms(1), 0, 2, 9}, {ms(2), 0, 3, 9}, {ms(300), 1, 2, 9}, {ms(310), 2, 1, 9}, {ms(700), 1, 0, 9}, {ms(730), 1, 2, 9}, {ms(760), 1, 3, 9}}
+	assert.Equal(t, []Datagram{{ms(0), 0, 1, 9}}, Told(seen, 4), "what 1 sends is spread out: reports")
+	all := func(int) bool { return true }
+	assert.Equal(t, 390*time.Millisecond, Silence(seen, all, ms(-10), ms(800)))
+	assert.Equal(t, 2240*time.Millisecond, Silence(seen, all, ms(-10), ms(3000)))
+	assert.Equal(t, time.Second, Silence(seen, func(n int) bool { return n == 0 }, ms(0), ms(1000)))
+}
