Let marks take only the room that a message has, and never panic on large sets

Found by reading Message.Texts: at 300 dispatchers with over nine tenants, some missing and a dozen marks, sums and marks take more than a text, the room for counts is negative and the slice panics (test: slice bounds out of range [:-2]); so it did before marks at some thousand dispatchers. Changed: marks are cut to the room, the room is never below none.

--- a/commons/commons_test.go
+++ b/commons/commons_test.go
@@ -277,6 +277,18 @@
 			}
 		}
 	}
+	for i := range 20 { // found by reading: the longest sums and a dozen marks are more than one text holds
+		full := Message{Hub: true, Sum: Digest{Sums: figs(15), Gone: figs(15), Moved: figs(15), Covered: cover, Missing: gone}, Counts: []Count{{Worker: 1, N: 1}}}
+		for range i {
+			full.Marks = append(full.Marks, Mark{Worker: 7, Bad: 3})
+		}
+		for _, x := range append(full.Texts(300), full.Short(300, 256).Texts(300)...) {
+			assert.LessOrEqual(t, len(x), 256)
+			_, ok := Read(x, 300)
+			assert.True(t, ok)
+		}
+		assert.NotPanics(t, func() { full.Texts(5000) })
+	}
 	big := Message{Hub: true, Sum: Digest{Sums: figs(7), Gone: figs(7), Moved: figs(7), Covered: cover, Missing: gone}}
 	for i := range 120 {
 		big.Counts = append(big.Counts, Count{Worker: uint16(i), N: 3})
--- a/commons/message.go
+++ b/commons/message.go
@@ -105,7 +105,7 @@
 		set(flagHub, m.Hub)
 		if !set(flagGoesOn, goesOn) {
 			raw = m.first(raw, set, siblings)
-			if marks := m.Marks[:min(len(m.Marks), marksMax)]; len(marks) > 0 {
+			if marks := m.Marks[:max(0, min(len(m.Marks), marksMax, (textMax-len(raw)-1)/4))]; len(marks) > 0 {
 				raw[0] |= marksHere
 				raw = append(raw, byte(len(marks)))
 				for _, x := range marks {
@@ -113,7 +113,7 @@
 				}
 			}
 		}
-		room := textMax - len(raw)
+		room := max(0, textMax-len(raw)) // of some thousand dispatchers the sets alone are too long: the host drops such a text
 		n := min(len(m.Counts), room/3, 255)
 		k := min(len(m.Pairs), (room-3*n)/6)
 		raw[1], raw[2] = flags, byte(n)
