--- a/cmd/oakthread/fleet_test.go
+++ b/cmd/oakthread/fleet_test.go
@@ -297,3 +297,50 @@
 	assert.Less(t, gap, 3*term/2)
 	assert.Zero(t, r.Check(nil).Sum(), "%+v", r.Check(nil))
 }
+
+// Totals stay one over a fleet that grows from three to six, has one killed and started anew in the terms of others and its own,
+// and shrinks again by planned ends: no row is counted for another, and who is new knows what the others know.
+func TestTotalsWhileTheFleetChanges(t *testing.T) {
+	net, err := lab.ClaimNet()
+	require.NoError(t, err)
+	t.Cleanup(net.Close)
+	m, err := lab.NewMesh(net, t.TempDir(), lab.MeshSize{Dispatchers: 6, Boxes: 2, Slow: 2, Seed: 8, Program: underTest(), Debug: true})
+	require.NoError(t, err)
+	t.Cleanup(m.Close)
+	ready, done := context.WithTimeout(t.Context(), 40*time.Second)
+	defer done()
+	old := func(n int) bool { return n < 3 }
+	young := func(n int) bool { return n >= 3 }
+	require.NoError(t, m.Start(ready, old))
+	m.Send(t.Context(), old)
+	span(t, 4*time.Second)
+	agree := func(what string, pick func(int) bool) {
+		from := span(t, 2500*time.Millisecond)
+		until := span(t, 1500*time.Millisecond)
+		apart := m.Apart(from, until, pick)
+		t.Logf("%s: totals %.3f apart", what, apart)
+		assert.Less(t, apart, 0.2, what)
+	}
+	agree("three", old)
+	require.NoError(t, m.Start(ready, young))
+	adding, enough := context.WithCancel(t.Context())
+	m.Send(adding, young)
+	agree("six", nil)
+	for range 3 { // dispatcher 4 has few calls
+		require.NoError(t, m.Nodes[4].Kill())
+		require.NoError(t, m.Nodes[4].Start())
+		require.NoError(t, m.Nodes[4].WaitReady(ready))
+		span(t, 300*time.Millisecond)
+	}
+	agree("one started anew", nil)
+	enough()
+	span(t, 500*time.Millisecond)
+	for n := 3; n < 6; n++ {
+		require.NoError(t, m.Nodes[n].Stop())
+	}
+	agree("three again", old)
+	m.Quiet()
+	restarted := func(x lab.Try) bool { return x.ID[:3] == "004" }
+	assert.Zero(t, m.Check(restarted).Sum(), "%+v", m.Check(restarted))
+	assert.NoError(t, m.Stop())
+}
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -319,7 +319,7 @@
 		if err := sleepUntil(ctx, healed.Add(spans.heal)); err != nil {
 			return nil, err
 		}
-		r.apart = m.Apart(healed.Add(2*hubTerm*m.Figures.Classes[0].Aim), healed.Add(spans.heal))
+		r.apart = m.Apart(healed.Add(2*hubTerm*m.Figures.Classes[0].Aim), healed.Add(spans.heal), nil)
 	}
 	enough()
 	m.Heal()
@@ -346,11 +346,14 @@
 	return r, nil
 }
 
-// Apart is by how much the dispatchers' totals of a differ, of the least, as each tells first in a span; NaN where one tells
-// none. A dispatcher tells it in its log alone, so this figure is its word.
-func (m *Mesh) Apart(from, until time.Time) float64 {
+// Apart is by how much the totals of a differ, of the least, as each of the dispatchers that pick names (nil: all) tells first
+// in a span; NaN where one tells none. A dispatcher tells it in its log alone, so this figure is its word.
+func (m *Mesh) Apart(from, until time.Time, pick func(n int) bool) float64 {
 	low, high := math.Inf(1), 0.0
-	for _, path := range m.Logs() {
+	for n, path := range m.Logs() {
+		if pick != nil && !pick(n) {
+			continue
+		}
 		raw, err := os.ReadFile(path)
 		if err != nil {
 			return math.NaN()
