Tell on only a pace that was seen, and let others' word of it weigh without replacing ours

Found by reading, after a box 8 times slower got 1.0 to 1.4 times the calls of before: a pace told by a digest was written over the dispatcher's own (takeWords), was told on in its next report as if seen, and so never faded; a middle of four replaced an own eight. Changed: told paces stand apart, weigh by the greater of the two, fade within eight shortest aims and are told to nobody.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -541,7 +541,7 @@
 // many dispatchers has too few calls there to see its queue, for one that takes longer than the others.
 func (d *Dispatcher) load(now int64, w *worker) float64 {
 	l := (d.inflight(now, w) + 1) / (d.grown(now, w) * max(w.Weight, 0.1))
-	l *= 1 + (1-1/d.many())*(w.pace*w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
+	l *= 1 + (1-1/d.many())*d.drag(now, w)
 	return l * (1 + faultWeight*d.judge.Failures(now, &w.health))
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1667,3 +1667,27 @@
 		}
 	}
 }
+
+// Found by reading: what others told of a worker's pace was told on as if seen, so that it never faded. It weighs here, is told
+// to nobody, and what we saw ourselves is not made less by it.
+func TestToldPaceIsNotToldOn(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings, s.Peers = 12, true
+	d, _ := start(t, s, 4)
+	now := 1000000 * ms
+	before := d.load(now, d.workers[1])
+	d.takeWords(now, []commons.Mark{{Worker: 1, Good: 3, Pace: 16}, {Worker: 2, Good: 3, Pace: 16}})
+	if l := d.load(now, d.workers[1]); l < 3*before {
+		t.Errorf("load %.1f with calls told to take four times as long, %.1f before", l, before)
+	}
+	if _, says := d.judge.Mark(now, &d.workers[1].health, d.slow(now, d.workers[1])); says {
+		t.Error("it is told on")
+	}
+	d.workers[2].pace, d.workers[2].paceAt = 8, now
+	if l := d.load(now, d.workers[2]); l < 30*before {
+		t.Errorf("load %.1f with eight times as long seen here", l)
+	}
+	if l := d.load(now+10*int64(d.tau()), d.workers[1]); l > 1.1*before {
+		t.Errorf("load %.1f long after", l)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -121,6 +121,8 @@
 	holds      []*holder
 	pace       float64 // its time for a call at a loaded copy, in the mean of all; 1 at the least
 	paceAt     int64
+	told       float64 // the same as others tell it: it weighs, and is never told on
+	toldAt     int64
 	silentAt   int64   // a digest told that it answers nobody
 	now        float64 // load in the choice of this number
 	turn       int
@@ -607,8 +609,8 @@
 		}
 		word := verdict.Word(verdict.Mark{Good: m.Good, Bad: m.Bad, Pace: m.Pace})
 		told, of = append(told, verdict.Told{Box: &w.health, Weight: max(w.Weight, 0.1), Word: word}), append(of, w)
-		if word.Pace > 0 && now-w.paceAt > d.minAim { // we have not seen for ourselves lately
-			w.pace, w.paceAt = min(word.Slow(), paceMax), now
+		if word.Pace > 0 {
+			w.told, w.toldAt = min(word.Slow(), paceMax), now
 		}
 	}
 	for i, text := range d.judge.Words(now, told, all) {
@@ -828,6 +830,12 @@
 	}
 }
 
+// drag is how much heavier w counts for its pace, by our own calls or by what others tell of theirs, whichever is more.
+func (d *Dispatcher) drag(now int64, w *worker) float64 {
+	own := (w.pace*w.pace - 1) * math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
+	return max(own, (w.told*w.told-1)*math.Exp(-float64(now-w.toldAt)/d.tau()))
+}
+
 // slow is how many times longer calls at w's loaded copies take than at all, fading to 1.
 func (d *Dispatcher) slow(now int64, w *worker) float64 {
 	return 1 + (w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
