--- a/cmd/oakthread/fleet_test.go
+++ b/cmd/oakthread/fleet_test.go
@@ -154,7 +154,7 @@
 	three := make(chan bool, 3) // at a time: the machine is to keep up
 	for _, c := range []struct {
 		fault  string
-		served float64 // least part of the calls served, at dispatchers that it does not hit
+		served float64 // least part of the calls served, at dispatchers that it does not hit; 0: not asked
 		kept   float64 // least part of the others' calls that boxes in question keep; 0: the fault lies there
 		spoilt int     // most calls spoilt; 0: not asked
 	}{
@@ -190,8 +190,12 @@
 			back, _ := r.At(over.Add(2*time.Second), end, boxes, others)
 			served := lab.Served(r.Calls(others), began, end, nil)
 			t.Logf("%.3f served; the boxes in question keep %.2f of the others' calls, %d spoilt, %d from 2 s after the end", served, kept, spoilt, back)
-			assert.GreaterOrEqual(t, served, c.served)
-			assert.GreaterOrEqual(t, kept, c.kept)
+			if c.served > 0 {
+				assert.GreaterOrEqual(t, served, c.served)
+			}
+			if c.kept > 0 {
+				assert.GreaterOrEqual(t, kept, c.kept)
+			}
 			if c.spoilt > 0 {
 				assert.LessOrEqual(t, spoilt, c.spoilt)
 			}
--- a/internal/lab/before.go
+++ b/internal/lab/before.go
@@ -5,6 +5,7 @@
 
 import (
 	"archive/tar"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -104,3 +105,65 @@
 		}
 	}
 }
+
+// versus is an experiment that sets the program before a change beside the one after it.
+type versus[T any] struct {
+	name, note, before string // note: beside sizes and commit; before: the commit
+	sizes              []int  // dispatchers
+	seeds              int
+	faults             []string
+	run                func(net *Net, dir, fault string, size RigSize) (*T, error) // one arm
+	report             func(rep *Report, name, fault string, pair [2]*T)
+}
+
+// all runs every fault at every size with every seed, both programs at the same time, each fleet with addresses of its own.
+func (v versus[T]) all(ctx context.Context, o Options) (*Report, error) {
+	faults, err := o.pick(v.faults)
+	if err != nil {
+		return nil, err
+	}
+	programs, err := both(ctx, o, v.before)
+	if err != nil {
+		return nil, err
+	}
+	net, err := ClaimNet()
+	if err != nil {
+		return nil, err
+	}
+	defer net.Close()
+	rep := &Report{Name: v.name, Seed: o.Seed, Arms: []string{"before", "after"}, Note: fmt.Sprintf(
+		"%d dispatchers (processes), %s; before: commit %s; seeds from %d on", v.sizes, v.note, cmp.Or(o.Before, v.before), o.Seed)}
+	for _, n := range v.sizes {
+		for i, fault := range faults {
+			for s := range v.seeds {
+				seed := o.Seed + uint64(s)
+				name := fmt.Sprintf("%d, seed %d, %s: ", n, seed, fault)
+				o.Log("%s", name)
+				pair, err := beside(func(arm int) (*T, error) {
+					return v.run(net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
+						RigSize{Dispatchers: n, Program: programs[arm], Group: arm, Seed: seed})
+				})
+				if err != nil {
+					return nil, fmt.Errorf("%s%w", name, err)
+				}
+				v.report(rep, name, fault, pair)
+			}
+		}
+	}
+	return rep, nil
+}
+
+// beside runs both arms of an experiment at the same time.
+func beside[T any](run func(arm int) (*T, error)) (pair [2]*T, err error) {
+	errs := make(chan error, len(pair))
+	for arm := range pair {
+		go func() {
+			var err error
+			if pair[arm], err = run(arm); err != nil {
+				err = fmt.Errorf("program %d: %w", arm, err)
+			}
+			errs <- err
+		}()
+	}
+	return pair, errors.Join(<-errs, <-errs)
+}
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -4,13 +4,11 @@
 // the program before and after a change. What tenants got is counted at their clients.
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math"
 	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -239,7 +237,7 @@
 // meshSpans are how long the parts of a run are; heal: after the fault, where it can end.
 type meshSpans struct{ warm, calm, first, later, heal time.Duration }
 
-// RunMesh runs the experiment. Both programs run at the same time, each fleet with boxes and addresses of its own.
+// RunMesh runs the experiment.
 func RunMesh(ctx context.Context, o Options) (*Report, error) {
 	sizes, boxes, seeds, faults := []int{12, 24}, 4, 3, MeshFaults()
 	spans := meshSpans{4 * time.Second, 3 * time.Second, 2 * time.Second, 6 * time.Second, 3 * time.Second}
@@ -247,40 +245,12 @@
 		sizes, boxes, seeds, faults = []int{6}, 2, 1, []string{MeshHalves, MeshUnheard}
 		spans = meshSpans{4 * time.Second, 2 * time.Second, 2 * time.Second, 5 * time.Second, 3 * time.Second}
 	}
-	faults, err := o.pick(faults)
-	if err != nil {
-		return nil, err
-	}
-	programs, err := both(ctx, o, meshBefore)
-	if err != nil {
-		return nil, err
-	}
-	net, err := ClaimNet()
-	if err != nil {
-		return nil, err
-	}
-	defer net.Close()
-	rep := &Report{Name: "mesh", Seed: o.Seed, Arms: []string{"before", "after"}, Note: fmt.Sprintf(
-		"%d dispatchers (processes), %d boxes; a floods with 3 times its allowance, b and c ask for 0.9 of theirs at other dispatchers; before: commit %s; seeds from %d on",
-		sizes, boxes, cmp.Or(o.Before, meshBefore), o.Seed)}
-	for _, n := range sizes {
-		for i, fault := range faults {
-			for s := range seeds {
-				seed := o.Seed + uint64(s)
-				name := fmt.Sprintf("%d, seed %d, %s: ", n, seed, fault)
-				o.Log("%s", name)
-				pair, err := beside(func(arm int) (*meshResult, error) {
-					return meshArm(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
-						MeshSize{Dispatchers: n, Boxes: boxes, Slow: 1, Seed: seed, Debug: true, Group: arm, Program: programs[arm]}, spans)
-				})
-				if err != nil {
-					return nil, fmt.Errorf("%s%w", name, err)
-				}
-				meshReport(rep, name, fault, pair)
-			}
-		}
-	}
-	return rep, nil
+	return versus[meshResult]{name: "mesh", before: meshBefore, sizes: sizes, seeds: seeds, faults: faults,
+		note: fmt.Sprintf("%d boxes; a floods with 3 times its allowance, b and c ask for 0.9 of theirs at other dispatchers", boxes),
+		run: func(net *Net, dir, fault string, size RigSize) (*meshResult, error) {
+			return meshArm(ctx, net, dir, fault, MeshSize{Dispatchers: size.Dispatchers, Boxes: boxes, Slow: 1, Seed: size.Seed, Debug: true,
+				Group: size.Group, Program: size.Program}, spans)
+		}, report: meshReport}.all(ctx, o)
 }
 
 func meshArm(ctx context.Context, net *Net, dir, fault string, size MeshSize, spans meshSpans) (*meshResult, error) {
--- a/internal/lab/turns.go
+++ b/internal/lab/turns.go
@@ -4,12 +4,9 @@
 // later, under real processes of the program before and after a change. It counts what crossed the datagrams' ways.
 
 import (
-	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"math"
-	"path/filepath"
 	"slices"
 	"syscall"
 	"time"
@@ -84,54 +81,12 @@
 	if o.Quick {
 		sizes, boxes, seeds = []int{6}, 12, 1
 	}
-	faults, err := o.pick(TurnsFaults())
-	if err != nil {
-		return nil, err
-	}
-	programs, err := both(ctx, o, turnsBefore)
-	if err != nil {
-		return nil, err
-	}
-	net, err := ClaimNet()
-	if err != nil {
-		return nil, err
-	}
-	defer net.Close()
-	rep := &Report{Name: "turns", Seed: o.Seed, Arms: []string{"before", "after"}, Note: fmt.Sprintf(
-		"%d dispatchers (processes), %d boxes, %d calls/s a box; counted from %d to %d terms after the fault; before: commit %s; seeds from %d on", sizes, boxes,
-		fleetCalls, turnsSettle, turnsSettle+turnsCount, cmp.Or(o.Before, turnsBefore), o.Seed)}
-	for _, n := range sizes {
-		for i, fault := range faults {
-			for s := range seeds {
-				name := fmt.Sprintf("%d, seed %d, %s: ", n, o.Seed+uint64(s), fault)
-				o.Log("%s", name)
-				pair, err := beside(func(arm int) (*turnsResult, error) {
-					return turnsArm(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
-						RigSize{Dispatchers: n, Boxes: boxes, Program: programs[arm], Group: arm, Seed: o.Seed + uint64(s)})
-				})
-				if err != nil {
-					return nil, fmt.Errorf("%s%w", name, err)
-				}
-				turnsReport(rep, name, pair)
-			}
-		}
-	}
-	return rep, nil
-}
-
-// beside runs both arms of an experiment at the same time.
-func beside[T any](run func(arm int) (*T, error)) (pair [2]*T, err error) {
-	errs := make(chan error, len(pair))
-	for arm := range pair {
-		go func() {
-			var err error
-			if pair[arm], err = run(arm); err != nil {
-				err = fmt.Errorf("program %d: %w", arm, err)
-			}
-			errs <- err
-		}()
-	}
-	return pair, errors.Join(<-errs, <-errs)
+	return versus[turnsResult]{name: "turns", before: turnsBefore, sizes: sizes, seeds: seeds, faults: TurnsFaults(),
+		note: fmt.Sprintf("%d boxes, %d calls/s a box; counted from %d to %d terms after the fault", boxes, fleetCalls, turnsSettle, turnsSettle+turnsCount),
+		run: func(net *Net, dir, fault string, size RigSize) (*turnsResult, error) {
+			size.Boxes = boxes
+			return turnsArm(ctx, net, dir, fault, size)
+		}, report: turnsReport}.all(ctx, o)
 }
 
 func turnsArm(ctx context.Context, net *Net, dir, fault string, size RigSize) (*turnsResult, error) {
@@ -204,7 +159,7 @@
 	return x, nil
 }
 
-func turnsReport(rep *Report, name string, both [2]*turnsResult) {
+func turnsReport(rep *Report, name, _ string, both [2]*turnsResult) {
 	row := func(what, unit string, of func(*turnsResult) float64) {
 		rep.Row(name+what, unit, of(both[0]), of(both[1]))
 	}
--- a/internal/lab/verdicts.go
+++ b/internal/lab/verdicts.go
@@ -4,12 +4,10 @@
 // real processes of the program before and after a change. What is counted was seen by boxes and clients.
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -220,39 +218,12 @@
 	if o.Quick {
 		sizes, boxes, seeds, faults = []int{6}, 12, 1, []string{VerdictFails, VerdictPartial}
 	}
-	faults, err := o.pick(faults)
-	if err != nil {
-		return nil, err
-	}
-	programs, err := both(ctx, o, verdictsBefore)
-	if err != nil {
-		return nil, err
-	}
-	net, err := ClaimNet()
-	if err != nil {
-		return nil, err
-	}
-	defer net.Close()
-	rep := &Report{Name: "verdicts", Seed: o.Seed, Arms: []string{"before", "after"}, Note: fmt.Sprintf(
-		"%d dispatchers (processes), %d boxes, %d calls/s a box; before: commit %s; seeds from %d on", sizes, boxes, fleetCalls,
-		cmp.Or(o.Before, verdictsBefore), o.Seed)}
-	for _, n := range sizes {
-		for i, fault := range faults {
-			for s := range seeds {
-				name := fmt.Sprintf("%d, seed %d, %s: ", n, o.Seed+uint64(s), fault)
-				o.Log("%s", name)
-				pair, err := beside(func(arm int) (*verdictsResult, error) {
-					return verdictsArm(ctx, net, filepath.Join(o.Dir, fmt.Sprintf("%d-%d-%d-%d", n, i, s, arm)), fault,
-						RigSize{Dispatchers: n, Boxes: boxes, Program: programs[arm], Group: arm, Seed: o.Seed + uint64(s)})
-				})
-				if err != nil {
-					return nil, fmt.Errorf("%s%w", name, err)
-				}
-				verdictsReport(rep, name, fault, pair)
-			}
-		}
-	}
-	return rep, nil
+	return versus[verdictsResult]{name: "verdicts", before: verdictsBefore, sizes: sizes, seeds: seeds, faults: faults,
+		note: fmt.Sprintf("%d boxes, %d calls/s a box", boxes, fleetCalls),
+		run: func(net *Net, dir, fault string, size RigSize) (*verdictsResult, error) {
+			size.Boxes = boxes
+			return verdictsArm(ctx, net, dir, fault, size)
+		}, report: verdictsReport}.all(ctx, o)
 }
 
 func verdictsArm(ctx context.Context, net *Net, dir, fault string, size RigSize) (*verdictsResult, error) {
--- a/verdict/words.go
+++ b/verdict/words.go
@@ -118,7 +118,8 @@
 // Slow is how many times longer calls take there; 0: not told.
 func (w Word) Slow() float64 { return float64(w.Pace) / paceUnit }
 
-// Share is the lower end of the interval (Wilson's, of one and a half deviations) of the part of observers that found the executor bad.
+// Share is the lower end of the interval (Wilson's, of one and a half deviations) of the part of observers that found the
+// executor bad.
 func (w Word) Share() float64 {
 	n := float64(w.Good) + float64(w.Bad)
 	if n == 0 {
