Hand on the idempotency key of keyed calls, without which nothing of them is served

Change: Request.IdempotencyKey, read once and handed on as it is; a doubled one is a 400. Beside it stands X-Repeat, the mark of clients that repeat, which the module knows and the front did not read.

TestCallGoesOnUnchanged and TestHeadOfACall fail without it.

--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -402,6 +402,9 @@
 	budget := max(1, time.Until(a.Until).Milliseconds())
 	h := http.Header{"X-Hop-Id": {a.Request.ID}, "X-Thing": {a.Request.Key},
 		"X-Budget": {strconv.FormatInt(budget, 10)}, "User-Agent": {""}}
+	if a.Request.IdempotencyKey != "" {
+		h.Set("X-Replay-Key", a.Request.IdempotencyKey)
+	}
 	method := http.MethodPost
 	if len(a.Request.Body) == 0 {
 		method = http.MethodGet
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -35,6 +35,9 @@
 	mostLanes   = 1 << 10                 // figures beyond these are no model's
 	mostMemory  = 1 << 24                 // MB
 	mostLoad    = time.Hour
+
+	idempotencyKey = "X-Dedupe-Key" // of a call whose class is keyed
+	repeatMark     = "X-Repeat"     // where clients mark their repeats
 )
 
 // Front serves the platform's clients. It implements http.Handler.
@@ -196,7 +199,7 @@
 }
 
 func (f *Front) head(key string, h http.Header, now time.Time) (q oakthread.Request, err error) {
-	for _, name := range [...]string{"X-Call-Id", "X-Class", "X-Customer", "X-Patience-Ms", "X-Extras"} {
+	for _, name := range [...]string{"X-Call-Id", "X-Class", "X-Customer", "X-Patience-Ms", "X-Extras", idempotencyKey, repeatMark} {
 		if len(h[name]) > 1 { // which of them counts is anyone's guess
 			return q, fmt.Errorf("%s stands there %d times", name, len(h[name]))
 		}
@@ -236,6 +239,12 @@
 		extras["load_ms"] > float64(mostLoad/time.Millisecond) {
 		return q, fmt.Errorf("X-Extras %q: a figure is out of range", h.Get("X-Extras"))
 	}
+	q.IdempotencyKey = h.Get(idempotencyKey)
+	switch h.Get(repeatMark) {
+	case "", "0", "false":
+	default:
+		q.Repeat = true
+	}
 	q.MemoryMB, q.Lanes = extras["memory_mb"], int(lanes)
 	q.LoadTime = time.Duration(extras["load_ms"] * float64(time.Millisecond))
 	return q, nil
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -87,6 +87,16 @@
 				Deadline: time.Unix(101, 3e8), MemoryMB: 512, Lanes: 2, LoadTime: 640 * time.Millisecond}, q)
 		}
 	}
+	for mark, want := range map[string]bool{"": false, "0": false, "false": false, "1": true, "true": true} {
+		h := http.Header{"X-Class": {"path-book"}, "X-Call-Id": {"9b1f03aa5c7e2d41"}, "X-Patience-Ms": {"1500"}, "X-Repeat": {mark}, "X-Dedupe-Key": {"k 1"}}
+		q, err := f.head("7F3a9c21e0b4d655", h, time.Now())
+		require.NoError(t, err)
+		assert.Equal(t, want, q.Repeat, mark)
+		assert.Equal(t, "k 1", q.IdempotencyKey)
+		h.Add("X-Dedupe-Key", "k 2")
+		_, err = f.head("7F3a9c21e0b4d655", h, time.Now())
+		assert.ErrorContains(t, err, "X-Dedupe-Key stands there 2 times")
+	}
 	_, err := f.head("no-function", http.Header{}, time.Now())
 	assert.Error(t, err)
 	_, err = f.head("7F3a9c21e0b4d655", http.Header{"X-Class": {"path-book"}, "X-Patience-Ms": {"1500"},
@@ -159,7 +169,7 @@
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		h := r.Header
-		fmt.Fprintf(w, "%s %s %s %s %q %v", r.Method, r.RequestURI, h.Get("X-Hop-Id"), h.Get("X-Thing"), b, h["Accept-Encoding"])
+		fmt.Fprintf(w, "%s %s %s %s %q %v", r.Method, r.RequestURI, h.Get("X-Hop-Id"), h.Get("X-Thing"), b, append(h["Accept-Encoding"], h["X-Replay-Key"]...))
 	}))
 	defer srv.Close()
 	f := NewFleet(setup(t), 10)
@@ -167,6 +177,10 @@
 	m := member(srv.Listener.Addr().String())
 	r := f.Send(t.Context(), attempt(m, body))
 	assert.Equal(t, fmt.Sprintf("POST /c/path-book 9b1f03aa5c7e2d41 7F3a9c21e0b4d655 %q []", body), string(r.Body))
+	a := attempt(m, body)
+	a.Request.IdempotencyKey = "3f:a b;c"
+	r = f.Send(t.Context(), a)
+	assert.Equal(t, fmt.Sprintf("POST /c/path-book 9b1f03aa5c7e2d41 7F3a9c21e0b4d655 %q [3f:a b;c]", body), string(r.Body))
 	r = f.Send(t.Context(), attempt(m, ""))
 	assert.Equal(t, `GET /c/path-book 9b1f03aa5c7e2d41 7F3a9c21e0b4d655 "" []`, string(r.Body), "no body is a GET")
 	o := oakthread.Order{Worker: m, Key: "7F3a9c21e0b4d655", Count: 2}
--- a/oakthread.go
+++ b/oakthread.go
@@ -14,7 +14,7 @@
 	"oakthread/decide"
 )
 
-// Request is one call. ID, Key and Body are handed on as they are.
+// Request is one call. ID, Key, IdempotencyKey and Body are handed on as they are.
 type Request struct {
 	ID       string // new with every try
 	Class    int    // place in the settings' classes
@@ -27,6 +27,8 @@
 	Lanes    int       // calls that a copy runs at a time
 	LoadTime time.Duration
 	Repeat   bool   // the caller says that it asked before
+	// IdempotencyKey is the same for all tries of one call; workers that are given it drop repeats. Handed on as it is.
+	IdempotencyKey string
 	Ref      string // what the caller knows the request by; for observers alone
 }
 
