End the server without resetting what has been taken, and see clients leave behind a next request

Read line by line: at the end http.Server.Shutdown closes the listener with connections in the kernel's backlog (they are reset), and every connection that net/http calls idle: one with half a head read on it is, and so is one whose request lies unread with the kernel. SetKeepAlivesEnabled, which out-of-service uses, does the same. And while a call is in hand net/http looks one byte ahead: behind that byte it does not see the client leave, and the call is sent, repeated and hedged for nobody.

Change: the guard (conns.go) owns these closes. At the end it takes what the kernel has accepted (poll on the listener) and then closes it; a connection is closed only when nothing of a request has been read on it (the framer's bounds, requests counted against answers) and nothing lies unread (FIONREAD); one with a request behind the one in hand is not told to close. While a call is in hand a connection is read on, up to one more request, and its end ends the call. Bytes that have come count as news where one connection gives way to another, and its place is free only once it is closed. Idle flow is unchanged.

--- a/internal/platform/conns.go
+++ b/internal/platform/conns.go
@@ -7,18 +7,26 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	lineKept  = 128 // bytes kept of a line of a head: what bounds a message fits
 	uncounted = -1  // a length that was not told, or an end that cannot be told
+
+	mostAhead   = 32 << 10              // bytes read behind a call in hand: a head and a body
+	backlogWait = 20 * time.Millisecond // for a connection that the kernel says it has
 )
 
 // framer follows the bounds of HTTP/1.1 messages in the bytes of one direction. Guards against two readings of one
@@ -65,6 +73,9 @@
 	return n
 }
 
+// between tells that of the next message nothing has come.
+func (f *framer) between() bool { return f.ended || f.lines == 0 && len(f.line) == 0 && !f.body }
+
 // take reads a line of a head; the empty one ends it.
 func (f *framer) take(line string) {
 	f.lines++
@@ -111,17 +122,30 @@
 	f.body, f.ended = true, f.left == 0
 }
 
-// gate is a client's connection. It watches the bounds of requests and knows whether a whole call is in hand.
+// gate is a client's connection. It watches the bounds of requests, knows whether a whole call is in hand, and while one is
+// goes on reading: net/http looks one byte ahead, and behind that byte it does not see the client leave.
 type gate struct {
 	net.Conn
 	guard  *guard
 	framer framer
 	odd    atomic.Bool // a request on it had lengths that contradict each other; nothing after it can be trusted
 
+	ahead    bytes.Buffer  // bytes read behind the call in hand, for net/http to read after it
+	aheadErr error         // what ended that reading, told once the bytes are read
+	looking  chan struct{} // closed when a reading ahead has ended; nil: none began
+	whole    int           // requests that have come whole, and of these
+	answered int           // the answers written
+
+	mu       sync.Mutex
+	deadline time.Time // for reading, as set last
+
 	// Owned by the guard.
-	since time.Time // when it fell quiet
-	spoke bool      // a request has been answered on it
-	busy  bool      // a whole call is in hand
+	since time.Time          // when it fell quiet
+	spoke bool               // a request has been answered on it
+	busy  bool               // a whole call is in hand
+	more  bool               // behind the request in hand, some of the next
+	came  bool               // of a request, some has been read, and its answer has not been written
+	left  context.CancelFunc // ends the request in hand: its client has left
 	gone  bool
 }
 
@@ -133,30 +157,113 @@
 	return g
 }
 
+// Read is called by one goroutine at a time: the server's, or its look ahead while a call is in hand.
 func (g *gate) Read(b []byte) (int, error) {
-	n, err := g.Conn.Read(b)
+	if g.looking != nil { // the call is over, or its look ahead called off: reading goes on here
+		_ = g.Conn.SetReadDeadline(time.Unix(1, 0))
+		<-g.looking
+		g.looking = nil
+		g.mu.Lock()
+		err := g.Conn.SetReadDeadline(g.deadline)
+		g.mu.Unlock()
+		if err != nil {
+			return 0, err
+		}
+	}
+	var n int
+	var err error
+	if g.ahead.Len() > 0 {
+		n, _ = g.ahead.Read(b)
+	} else if g.aheadErr != nil {
+		err, g.aheadErr = g.aheadErr, nil
+	} else {
+		n, err = g.Conn.Read(b)
+	}
 	for at := 0; at < n; {
 		at += g.framer.feed(b[at:n])
 		if g.framer.odd {
 			g.odd.Store(true)
 		}
+		if g.framer.ended {
+			g.whole++
+		}
+	}
+	if n > 0 {
+		more := g.whole > g.answered+1 || g.whole > g.answered && !g.framer.between()
+		if left := g.guard.read(g, more); left != nil {
+			g.looking = make(chan struct{})
+			go g.look(g.looking, left)
+		}
 	}
 	return n, err
 }
 
+// look reads on while a call is in hand, as far as one more request may reach, to see its client leave.
+func (g *gate) look(ended chan<- struct{}, left context.CancelFunc) {
+	defer close(ended)
+	b := make([]byte, 1<<10)
+	for g.ahead.Len() < mostAhead {
+		n, err := g.Conn.Read(b)
+		g.ahead.Write(b[:n])
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if err != nil {
+			g.aheadErr = err
+			left()
+			return
+		}
+	}
+}
+
+func (g *gate) SetReadDeadline(t time.Time) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deadline = t
+	return g.Conn.SetReadDeadline(t)
+}
+
+func (g *gate) SetDeadline(t time.Time) error {
+	if err := g.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return g.Conn.SetWriteDeadline(t)
+}
+
 func (g *gate) Close() error {
+	err := g.Conn.Close() // before its place is given away, so that no more are open than there are places
 	g.guard.drop(g)
-	return g.Conn.Close()
+	return err
 }
 
-// guard is a listener that holds at most max connections. For one beyond that the one quiet for longest is closed.
-// Guards against clients that open connections and say nothing, which would leave everyone else waiting.
+// unread tells whether bytes lie with the kernel that nobody has read; where that cannot be told, no.
+func unread(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	if rc.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) != nil || err != nil {
+		return false
+	}
+	return n > 0
+}
+
+// guard is a listener that holds at most max connections, and the one that closes those on which nothing is under way: for
+// one beyond max, when they are to fall quiet, and at the end. Guards against clients that open connections and say nothing,
+// which would leave everyone else waiting, and against the close of a connection on which a request has begun to come.
 type guard struct {
 	net.Listener
-	max   int
-	mu    sync.Mutex
-	room  *sync.Cond
-	gates map[*gate]struct{}
+	max    int
+	mu     sync.Mutex
+	room   *sync.Cond
+	gates  map[*gate]struct{}
+	quiet  bool // connections are closed once nothing is under way on them
+	ending bool // what the kernel has accepted is taken, and nothing more
 }
 
 func newGuard(ln net.Listener, most int) *guard {
@@ -165,42 +272,141 @@
 	return g
 }
 
+var errEnded = errors.New("no more connections are taken") // ends the server's loop
+
 func (l *guard) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for ; err != nil; c, err = l.Listener.Accept() {
+		if err := l.failed(err); err != nil {
+			return nil, err
+		}
 	}
 	g := &gate{Conn: c, guard: l, since: time.Now()}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for len(l.gates) >= l.max {
 		if q := l.quietest(time.Now()); q != nil {
-			q.gone = true
-			delete(l.gates, q)
-			_ = q.Conn.Close()
+			l.shut(q)
 		} else {
 			l.room.Wait()
 		}
 	}
 	l.gates[g] = struct{}{}
-	l.mu.Unlock()
 	return g, nil
 }
 
+// end has Accept take what the kernel has accepted so far and then fail with errEnded. Guards against the reset of
+// connections that lie in the backlog when a listener is closed.
+func (l *guard) end() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ending = true
+	if d, ok := l.Listener.(deadliner); ok {
+		return d.SetDeadline(time.Unix(1, 0))
+	}
+	return l.Listener.Close()
+}
+
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// failed takes an error of the listener's. At the end, while the kernel has more connections, it is none.
+func (l *guard) failed(err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ending {
+		return err
+	}
+	if d, ok := l.Listener.(deadliner); ok && ready(l.Listener) {
+		return d.SetDeadline(time.Now().Add(backlogWait))
+	}
+	return errors.Join(errEnded, l.Listener.Close())
+}
+
+// ready tells whether a listener has connections that nobody has taken; where that cannot be told, no.
+func ready(ln net.Listener) bool {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	if rc.Control(func(fd uintptr) { n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) }) != nil {
+		return false
+	}
+	return err == nil && n > 0
+}
+
+// hush, on, closes the connections on which nothing is under way, now and as they fall idle.
+func (l *guard) hush(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quiet = on
+	for g := range l.gates {
+		l.shutIdle(g)
+	}
+}
+
+// shutIdle closes a connection that is to be quiet, unless a request has begun to come on it.
+func (l *guard) shutIdle(g *gate) {
+	if l.quiet && !g.busy && !g.came && !unread(g.Conn) {
+		l.shut(g)
+	}
+}
+
+func (l *guard) shut(g *gate) {
+	g.gone = true
+	delete(l.gates, g)
+	_ = g.Conn.Close()
+	l.room.Broadcast()
+}
+
+// empty waits until no connection is open; false: ctx has ended before.
+func (l *guard) empty(ctx context.Context) bool {
+	defer context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.room.Broadcast()
+	})()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.gates) > 0 && ctx.Err() == nil {
+		l.room.Wait()
+	}
+	return len(l.gates) == 0
+}
+
 // quietest is the connection without a call in hand that gives way. Silence of one on which nothing was ever
-// answered weighs more: it may be a client that never asks, and an idle one spares its next call a handshake.
+// answered weighs more: it may be a client that never asks, and an idle one spares its next call a handshake. One with
+// bytes that nobody has read is spared where there is another.
 func (l *guard) quietest(now time.Time) (most *gate) {
 	const silence = 4
 	var longest time.Duration
-	for g := range l.gates {
-		if g.busy {
-			continue
+	spared := map[*gate]bool{}
+	for {
+		most, longest = nil, 0
+		for g := range l.gates {
+			if g.busy || spared[g] {
+				continue
+			}
+			quiet := now.Sub(g.since) + 1
+			if !g.spoke {
+				quiet *= silence
+			}
+			if most == nil || quiet > longest {
+				most, longest = g, quiet
+			}
 		}
-		quiet := now.Sub(g.since) + 1
-		if !g.spoke {
-			quiet *= silence
+		if most == nil || !unread(most.Conn) {
+			break
 		}
-		if most == nil || quiet > longest {
-			most, longest = g, quiet
+		spared[most] = true
+	}
+	for g := range spared { // all have
+		if most == nil {
+			most = g
 		}
 	}
 	return most
@@ -212,8 +418,34 @@
 	if !g.gone {
 		g.gone = true
 		delete(l.gates, g)
-		l.room.Signal()
+		l.room.Broadcast()
+	}
+}
+
+// begin marks whose request is in hand: left ends it.
+func (l *guard) begin(g *gate, left context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g.left = left
+}
+
+// behind tells whether more has come behind the request in hand.
+func (l *guard) behind(g *gate) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return g.more
+}
+
+// read marks that bytes of a request have come; more: behind another one. Where that one is a call in hand, it returns what
+// ends it.
+func (l *guard) read(g *gate, more bool) context.CancelFunc {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g.since, g.came, g.more = time.Now(), true, more
+	if !g.busy {
+		return nil
 	}
+	return g.left
 }
 
 // take marks that a whole call is in hand; false: the connection has given way.
@@ -234,7 +466,11 @@
 	defer l.mu.Unlock()
 	g.since = time.Now()
 	if s == http.StateIdle {
-		g.spoke, g.busy = true, false
-		l.room.Signal()
+		g.spoke, g.busy, g.left = true, false, nil
+		g.answered++
+		g.came = g.whole > g.answered || !g.framer.between() || g.looking != nil
+		g.more = g.whole > g.answered+1 || g.whole > g.answered && !g.framer.between()
+		l.shutIdle(g)
+		l.room.Broadcast()
 	}
 }
--- /dev/null
+++ b/internal/platform/ending_test.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// This file forces the end of the server to cross with what clients send.
+
+// lateListener is a listener whose Accept waits, from the second connection on, until it may go on.
+type lateListener struct {
+	*net.TCPListener
+	mu    sync.Mutex
+	taken int
+	goOn  chan struct{}
+	ended chan struct{} // the server has begun to end it
+	once  sync.Once
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	wait := l.taken > 0
+	l.mu.Unlock()
+	if wait {
+		<-l.goOn
+	}
+	c, err := l.TCPListener.Accept()
+	l.mu.Lock()
+	l.taken += btoi(err == nil)
+	l.mu.Unlock()
+	return c, err
+}
+
+func (l *lateListener) SetDeadline(t time.Time) error {
+	l.once.Do(func() { close(l.ended) })
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *lateListener) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	return l.TCPListener.Close()
+}
+
+// Guards calls in the accept backlog at a planned end: the kernel has accepted their connections, the server has not, and
+// each is answered.
+func TestBacklogIsAnsweredAtTheEnd(t *testing.T) {
+	l := &lateListener{goOn: make(chan struct{}), ended: make(chan struct{})}
+	s := newStage(t, nil, func(in *net.TCPListener) net.Listener { l.TCPListener = in; return l }, newBox(t, nil))
+	require.Equal(t, 200, s.ask(first, "path-book"))
+	in := []*net.TCPConn{s.send(second, "path-book"), s.send(third, "path-check")}
+	s.end()
+	<-l.ended
+	close(l.goOn)
+	for _, c := range in {
+		assert.Equal(t, 200, s.read(c))
+	}
+	require.NoError(t, <-s.done)
+}
+
+// lateConn is a connection on which, once the server's look ahead during a first call has been called off, reading waits
+// until it may go on. It tells of such a wait, of bytes read, of its close and of a look at what lies unread.
+type lateConn struct {
+	*net.TCPConn
+	came           chan struct{}
+	waits, goOn    chan struct{} // nil: it never waits
+	closed, looked chan struct{}
+	once, look     sync.Once
+	first          sync.Once
+	wait           bool
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	if c.wait {
+		c.wait = false
+		close(c.waits)
+		<-c.goOn
+	}
+	n, err := c.TCPConn.Read(b)
+	if c.goOn != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.first.Do(func() { c.wait = true })
+	}
+	select {
+	case c.came <- struct{}{}:
+	default:
+	}
+	return n, err
+}
+
+func (c *lateConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.TCPConn.Close()
+}
+
+func (c *lateConn) SyscallConn() (syscall.RawConn, error) {
+	c.look.Do(func() { close(c.looked) })
+	return c.TCPConn.SyscallConn()
+}
+
+type connListener struct {
+	*net.TCPListener
+	wrap func(*net.TCPConn) net.Conn
+}
+
+func (l connListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c.(*net.TCPConn)), nil
+}
+
+// Guards a request that lies unread on a kept connection when idle connections are closed: it was taken, and is answered.
+func TestUnreadRequestIsAnsweredAtTheEnd(t *testing.T) {
+	var in *lateConn
+	s := newStage(t, nil, func(l *net.TCPListener) net.Listener {
+		return connListener{l, func(c *net.TCPConn) net.Conn {
+			in = &lateConn{TCPConn: c, waits: make(chan struct{}), goOn: make(chan struct{}), closed: make(chan struct{}), looked: make(chan struct{})}
+			return in
+		}}
+	}, newBox(t, nil))
+	c := s.send(first, "path-book")
+	require.Equal(t, 200, s.read(c))
+	<-in.waits // the server waits for the next request
+	s.write(c, text(second, "path-book", "x"))
+	s.end()
+	select {
+	case <-in.closed:
+		t.Fatal("closed with a request unread on it")
+	case <-in.looked:
+	case <-time.After(10 * time.Second):
+	}
+	close(in.goOn)
+	assert.Equal(t, 200, s.read(c))
+	require.NoError(t, <-s.done)
+}
+
+// Guards a request that has come in part on a kept connection when idle connections are closed: net/http calls such a
+// connection idle until the head is whole.
+func TestHalfAHeadIsAnsweredAtTheEnd(t *testing.T) {
+	came := make(chan struct{}, 16)
+	s := newStage(t, nil, func(l *net.TCPListener) net.Listener {
+		return connListener{l, func(c *net.TCPConn) net.Conn {
+			return &lateConn{TCPConn: c, came: came, closed: make(chan struct{}), looked: make(chan struct{})}
+		}}
+	}, newBox(t, nil))
+	idle, c := s.send(first, "path-book"), s.send(second, "path-book")
+	require.Equal(t, 200, s.read(idle))
+	require.Equal(t, 200, s.read(c))
+	for len(came) > 0 {
+		<-came
+	}
+	call := text(third, "path-book", "x")
+	s.write(c, call[:40])
+	<-came
+	s.end()
+	_, err := idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "idle connections are closed")
+	select {
+	case err := <-s.done:
+		t.Fatal("ended with half a request on a connection", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	s.write(c, call[40:])
+	assert.Equal(t, 200, s.read(c))
+	require.NoError(t, <-s.done)
+}
+
+// Guards a request sent before the answer to the one before it, in one segment: it lies in the server's buffer when that
+// answer is written and connections are to fall quiet.
+func TestNextRequestInTheBufferIsAnsweredAtTheEnd(t *testing.T) {
+	came, goOn := make(chan bool, 2), make(chan bool)
+	s := newStage(t, nil, nil, newBox(t, func(http.ResponseWriter, *http.Request) { came <- true; <-goOn }))
+	c := s.dial()
+	s.write(c, text(first, "path-check", "x")+text(second, "path-check", "x"))
+	<-came
+	s.end()
+	for !strings.Contains(<-s.lines, "ending: no new calls") {
+	}
+	close(goOn)
+	rd := bufio.NewReader(c)
+	for last := range 2 {
+		resp, err := http.ReadResponse(rd, nil)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.Equal(t, last == 1, resp.Close, "the last answer says that nothing behind it is taken")
+	}
+	require.NoError(t, <-s.done)
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -50,9 +50,10 @@
 	bad      atomic.Int64 // calls that could not be read
 	latest   atomic.Int64 // Unix milliseconds of the latest deadline taken
 	draining atomic.Bool
+	quiet    atomic.Bool // each connection ends with its answer
 	mux      *http.ServeMux
 	tally    sync.Map // class name → *Outcomes
-	srv      atomic.Pointer[http.Server]
+	held     atomic.Pointer[guard]
 
 	// Gate, where set before Serve, has the front say no to readiness while it returns false.
 	Gate func() bool
@@ -72,8 +73,12 @@
 // Quiet, on, closes idle connections of clients and ends each other one after its answer; off, keeps them again.
 // It takes effect once Serve runs.
 func (f *Front) Quiet(on bool) {
-	if srv := f.srv.Load(); srv != nil {
-		srv.SetKeepAlivesEnabled(!on)
+	if f.draining.Load() {
+		return // the end sees to that
+	}
+	f.quiet.Store(on)
+	if held := f.held.Load(); held != nil {
+		held.hush(on)
 	}
 }
 
@@ -118,6 +123,12 @@
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g := gateOf(r.Context())
+	if g != nil {
+		ctx, left := context.WithCancel(r.Context())
+		defer left()
+		g.guard.begin(g, left)
+		r = r.WithContext(ctx)
+	}
 	if g != nil && g.odd.Load() {
 		f.refuse(w, http.StatusBadRequest, errLengths) // the rest may be read as other requests
 		return
@@ -149,6 +160,7 @@
 
 // ping tells the platform's front that calls may come: not before a list is loaded, nor once we are to end.
 func (f *Front) ping(w http.ResponseWriter, r *http.Request) {
+	f.part(w, r)
 	if !f.core.Ready() || f.draining.Load() || f.Gate != nil && !f.Gate() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -177,6 +189,7 @@
 		old = f.latest.Load()
 	}
 	a, err := f.core.Do(r.Context(), q)
+	f.part(w, r)
 	f.relay(w, a, err)
 	f.count(r.Header.Get("X-Class"), reply.Status(a, err))
 }
@@ -265,6 +278,14 @@
 	reply.Write(w, a, err)
 }
 
+// part says that the connection ends with this answer, where connections are to be quiet and no further request has begun
+// to come on it.
+func (f *Front) part(w http.ResponseWriter, r *http.Request) {
+	if g := gateOf(r.Context()); f.quiet.Load() && (g == nil || !g.guard.behind(g)) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Serve runs an HTTP server on ln, which holds at most conns connections, until ctx ends. Then it goes on taking
 // calls for linger, since clients learn late, answers all it has taken, and returns nil. longest is the least time
 // given to those.
@@ -273,7 +294,7 @@
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: idleClients, ConnState: held.state,
 		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, gateKey{}, c) },
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
-	f.srv.Store(srv)
+	f.held.Store(held)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(held) }()
 	select {
@@ -295,9 +316,23 @@
 	}
 	end, done := context.WithDeadline(context.Background(), last)
 	defer done()
-	err := srv.Shutdown(end)
-	if errors.Is(err, context.DeadlineExceeded) && f.open.Load() == 0 {
-		err = nil // connections on which no call was under way
+	defer srv.Close()
+	// What the kernel has accepted is taken; then connections end as nothing is under way on them. http.Server.Shutdown
+	// would reset the backlog and close kept connections on which half a head has come.
+	f.quiet.Store(true)
+	if err := held.end(); err != nil {
+		return fmt.Errorf("end the listener: %w", err)
+	}
+	select {
+	case err := <-failed:
+		if !errors.Is(err, errEnded) {
+			return err
+		}
+	case <-end.Done():
+	}
+	held.hush(true)
+	if !held.empty(end) && f.open.Load() > 0 {
+		return context.DeadlineExceeded
 	}
-	return err
+	return nil // but for connections on which no call was under way
 }
