Write nothing for a caller that has left, nor to a worker that drains, while a connection comes up

Read line by line: an attempt is decided, then its connection may take 250 ms, twice, to come up. Nothing asked again before the first byte. A call taken out of the core's queue after its caller left was sent, too. Closing the longest idle connection could meet a request that began on it just then.

Change: a flight owns whether anything of an attempt or order was written. Until then it is barred when its caller leaves, its request is over, or its worker may get nothing; Attempt.Begin and Order.Begin are asked under the connection's lock right before the first byte. What is barred ends as moot, and goes elsewhere. The connection that came up late serves the next call.

Guarded already and now shown: TestClientLeavesBeforeAHedge, BehindAnOrder, InBackoff, TestComingAgainMultipliesNoAttempts, TestLeftCallIsGivenBackOnce.

--- a/core.go
+++ b/core.go
@@ -69,7 +69,8 @@
 	last    int64
 	later   []func()
 	open    map[string]*call
-	flights map[flightKey]context.CancelCauseFunc
+	flights map[flightKey]*flight
+	orders  int // given so far
 	members map[decide.WorkerID]Member
 	called  map[decide.FuncID]calledKey
 	ration  ration
@@ -79,6 +80,7 @@
 
 type call struct {
 	req    Request
+	ctx    context.Context // its end says that the caller has left
 	tries  int
 	answer chan result
 }
@@ -89,10 +91,42 @@
 }
 
 type flightKey struct {
-	id string
+	id string // "": an order
 	n  int
 }
 
+// flight is one attempt or order to load on its way. It owns whether anything of it was written: once begun it may only
+// be called off, where the settings allow that; until then it is barred when its caller leaves, its request is over, or
+// its worker drains, goes or starts anew. Guards against a write that crosses one of these: whoever comes first wins.
+type flight struct {
+	worker decide.WorkerID
+	caller context.Context
+	off    context.CancelCauseFunc
+
+	mu            sync.Mutex
+	begun, barred bool
+}
+
+// begin is asked right before the first byte is written; false: nothing may be written any more.
+func (f *flight) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.barred = f.barred || !f.begun && f.caller.Err() != nil
+	f.begun = f.begun || !f.barred
+	return !f.barred
+}
+
+// bar ends a flight that has not begun.
+func (f *flight) bar() {
+	f.mu.Lock()
+	bars := !f.begun
+	f.barred = f.barred || bars
+	f.mu.Unlock()
+	if bars {
+		f.off(errBarred)
+	}
+}
+
 type calledKey struct {
 	key string
 	at  time.Time
@@ -110,7 +144,7 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	c := &Core{cfg: cfg, events: make(chan func(), eventsWait), closing: make(chan struct{}),
-		stopped: make(chan struct{}), open: map[string]*call{}, flights: map[flightKey]context.CancelCauseFunc{},
+		stopped: make(chan struct{}), open: map[string]*call{}, flights: map[flightKey]*flight{},
 		members: map[decide.WorkerID]Member{}, called: map[decide.FuncID]calledKey{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.ration = ration{window: time.Duration(cfg.Settings.LoadWindow), free: cfg.Settings.LoadFree,
@@ -256,7 +290,7 @@
 	if q.ID == "" || q.Class < 0 || int64(q.Class) >= c.classes.Load() || q.Deadline.IsZero() {
 		return Answer{}, ErrInvalid
 	}
-	k := &call{req: q, answer: make(chan result, 1)}
+	k := &call{req: q, ctx: ctx, answer: make(chan result, 1)}
 	if !c.post(func() { c.admit(k) }) {
 		return Answer{}, ErrClosed
 	}
@@ -284,6 +318,9 @@
 
 // admit is the first stage in the loop: it takes a request in hand, or turns it away for want of room.
 func (c *Core) admit(k *call) {
+	if k.ctx.Err() != nil {
+		return // its caller has left, and nothing was done for it
+	}
 	if c.open[k.req.ID] != nil {
 		k.answer <- result{err: ErrDuplicate}
 		return
@@ -318,17 +355,21 @@
 		Repeat: q.Repeat})
 }
 
-var errCalledOff = errors.New("called off")
+var (
+	errCalledOff = errors.New("called off")
+	errBarred    = errors.New("barred before anything was written")
+)
 
 // send is one attempt, on a goroutine of its own. Its end comes back as an event, exactly once.
 func (c *Core) send(k *call, m Member, until time.Time) {
-	a := Attempt{Request: &k.req, Worker: m, N: k.tries, Until: until}
 	key := flightKey{k.req.ID, k.tries}
-	k.tries++
-	c.n.Attempts++
 	ctx, off := context.WithCancelCause(c.ctx)
 	ctx, done := context.WithDeadline(ctx, until)
-	c.flights[key] = off
+	f := &flight{worker: m.ID, caller: k.ctx, off: off}
+	a := Attempt{Request: &k.req, Worker: m, N: k.tries, Until: until, Begin: f.begin}
+	c.flights[key] = f
+	k.tries++
+	c.n.Attempts++
 	sent := time.Now()
 	go func() {
 		r := c.cfg.Workers.Send(ctx, a)
@@ -370,11 +411,18 @@
 		Finished: c.open[key.id] == nil, Warmth: r.Warmth, Crowd: r.Crowd, RTT: int64(took), Report: r.Report})
 }
 
-// unsent ends an attempt at a worker that has left the list: nothing was written, and nothing shows of the worker.
-func (c *Core) unsent(key flightKey, w decide.WorkerID, sent time.Time) {
-	c.n.Ends[decide.ConnectFailed]++
-	c.d.Outcome(c.now(), decide.Outcome{ID: key.id, Attempt: key.n, Worker: w, Result: decide.ConnectFailed,
-		Finished: c.open[key.id] == nil, RTT: int64(time.Since(sent))})
+// unsent ends an attempt that must not be made: its caller has left, or its worker is not on the list. Nothing was written.
+func (c *Core) unsent(k *call, w decide.WorkerID, r decide.Result) {
+	n, sent := k.tries, time.Now()
+	k.tries++
+	c.later = append(c.later, func() {
+		if k.ctx.Err() != nil {
+			c.abandon(k)
+		}
+		c.n.Ends[r]++
+		c.d.Outcome(c.now(), decide.Outcome{ID: k.req.ID, Attempt: n, Worker: w, Result: r,
+			Finished: c.open[k.req.ID] != k, RTT: int64(time.Since(sent))})
+	})
 }
 
 // book gives the final answer and tells the observer. No request is booked twice: it leaves the table here.
@@ -383,6 +431,11 @@
 		return
 	}
 	delete(c.open, k.req.ID)
+	for n := range k.tries {
+		if f := c.flights[flightKey{k.req.ID, n}]; f != nil {
+			f.bar()
+		}
+	}
 	switch {
 	case abandoned:
 		c.n.Abandoned++
@@ -430,6 +483,10 @@
 		old, known := c.members[m.ID]
 		if known && (m.State == decide.Off || !old.Start.Equal(m.Start) || old.Addr != m.Addr) {
 			c.cfg.Workers.Forget(m.ID)
+			c.bar(m.ID)
+		}
+		if m.State != decide.On {
+			c.bar(m.ID)
 		}
 		if m.State == decide.Off {
 			delete(c.members, m.ID)
@@ -444,6 +501,7 @@
 			if !named[id] {
 				delete(c.members, id)
 				c.cfg.Workers.Forget(id)
+				c.bar(id)
 			}
 		}
 		c.ready.Store(true)
@@ -451,6 +509,15 @@
 	c.d.Roster(c.now(), r.Kind, es)
 }
 
+// bar ends what is on its way to a worker that must get nothing new, as far as nothing of it was written.
+func (c *Core) bar(w decide.WorkerID) {
+	for _, f := range c.flights {
+		if f.worker == w {
+			f.bar()
+		}
+	}
+}
+
 // sweep keeps the table of called functions bounded.
 func (c *Core) sweep(now time.Time) {
 	if now.Sub(c.swept) < calledFor/10 {
@@ -509,13 +576,12 @@
 		return
 	}
 	m, known := c.members[w]
+	if k.ctx.Err() != nil {
+		c.unsent(k, w, decide.Moot)
+		return
+	}
 	if !known || m.State != decide.On {
-		n := k.tries
-		k.tries++
-		sent := time.Now()
-		c.later = append(c.later, func() {
-			c.unsent(flightKey{id, n}, w, sent)
-		})
+		c.unsent(k, w, decide.ConnectFailed)
 		return
 	}
 	end := k.req.Deadline
@@ -526,8 +592,8 @@
 }
 
 func (h *host) Cancel(id string, attempt int) {
-	if off := h.flights[flightKey{id, attempt}]; off != nil {
-		off(errCalledOff)
+	if f := h.flights[flightKey{id, attempt}]; f != nil {
+		f.off(errCalledOff)
 	}
 }
 
@@ -561,11 +627,18 @@
 	if limit <= 0 {
 		limit = 10 * time.Second
 	}
+	c.orders++
+	key := flightKey{n: c.orders}
+	ctx, off := context.WithCancelCause(c.ctx)
+	way := &flight{worker: w, caller: c.ctx, off: off}
+	c.flights[key] = way
 	go func() {
-		ctx, done := context.WithTimeout(c.ctx, limit)
-		defer done()
-		r := c.cfg.Workers.Load(ctx, Order{Worker: m, Func: f, Key: name.key, Count: n})
+		ctx, done := context.WithTimeout(ctx, limit)
+		r := c.cfg.Workers.Load(ctx, Order{Worker: m, Func: f, Key: name.key, Count: n, Begin: way.begin})
+		done()
+		off(nil)
 		c.post(func() {
+			delete(c.flights, key)
 			if c.cfg.Observed != nil && r.Result != decide.Timeout { // a load may take longer than we wait
 				c.cfg.Observed(Observation{Kind: ObservedOrder, Worker: w, Result: r.Result})
 			}
--- a/core_test.go
+++ b/core_test.go
@@ -27,6 +27,9 @@
 }
 
 func (s *stand) Send(ctx context.Context, a Attempt) Reply {
+	if !a.Begin() {
+		return Reply{Result: decide.Moot}
+	}
 	s.sent <- a
 	select {
 	case r := <-s.replies:
@@ -279,3 +282,102 @@
 	require.NoError(t, err)
 	assert.Equal(t, Served, a.Outcome)
 }
+
+// late is a fleet in which an attempt has not begun until it may go on, as while a connection comes up.
+type late struct {
+	*stand
+	goOn  chan struct{}
+	begun chan bool
+}
+
+func (l *late) Send(ctx context.Context, a Attempt) Reply {
+	l.sent <- a
+	<-l.goOn
+	ok := a.Begin()
+	l.begun <- ok
+	if !ok {
+		return Reply{Result: decide.Moot}
+	}
+	return Reply{Result: decide.OK}
+}
+
+// Guards the write that crosses a leaving which the loop has yet to hear of: the loop is kept busy, the caller leaves, and
+// its attempt is refused the first byte. What has begun is not refused afterwards.
+func TestNothingBeginsForACallerThatLeft(t *testing.T) {
+	l := &late{newStand(), make(chan struct{}), make(chan bool, 4)}
+	stands, goOn := make(chan bool), make(chan bool)
+	core := testCore(t, l.stand, func(c *Config) {
+		c.Workers = l
+		c.Settled = func(x Settlement) {
+			if x.Request.ID == "busy" {
+				stands <- true
+				<-goOn
+			}
+		}
+	})
+	busy := ask("busy")
+	busy.Deadline = time.Now().Add(-time.Second) // refused at once
+	ctx, leave := context.WithCancel(t.Context())
+	left := make(chan error, 1)
+	go func() { _, err := core.Do(ctx, ask("a")); left <- err }()
+	<-l.sent
+	go func() { _, _ = core.Do(t.Context(), busy) }()
+	<-stands
+	leave()
+	require.ErrorIs(t, <-left, context.Canceled)
+	close(l.goOn)
+	assert.False(t, <-l.begun, "begun for a caller that has left")
+	goOn <- true
+	f := &flight{caller: t.Context(), off: func(error) { t.Error("what has begun was barred") }}
+	require.True(t, f.begin())
+	f.bar()
+	assert.True(t, f.begin())
+	assert.Zero(t, core.Counters().Served)
+}
+
+// Guards calls taken out of the queue after their caller has left: nothing is done for them.
+func TestLeftBeforeAdmission(t *testing.T) {
+	s := newStand()
+	core := testCore(t, s, nil)
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	_, err := core.Do(ctx, ask("a"))
+	require.ErrorIs(t, err, context.Canceled)
+	s.replies <- Reply{Result: decide.OK}
+	_, err = core.Do(t.Context(), ask("b"))
+	require.NoError(t, err)
+	assert.Equal(t, "b", (<-s.sent).Request.ID)
+	assert.Equal(t, int64(1), core.Counters().Taken)
+}
+
+// Guards the wait between two attempts: its caller leaves, and the attempt that was due is not made. A second call waits
+// as long after it, so that the first one's turn has passed.
+func TestCallerLeavesInBackoff(t *testing.T) {
+	s := newStand()
+	settled := make(chan Settlement, 4)
+	core := testCore(t, s, func(c *Config) {
+		c.Settings.MaxAttempts = 5
+		c.Settled = func(x Settlement) { settled <- x }
+	})
+	twice := func(id string, ctx context.Context) chan error {
+		s.replies <- Reply{Result: decide.Full}
+		s.replies <- Reply{Result: decide.Full}
+		end := make(chan error, 1)
+		go func() { _, err := core.Do(ctx, ask(id)); end <- err }()
+		<-s.sent
+		<-s.sent
+		for core.Counters().Ends[decide.Full]%2 != 0 {
+		}
+		return end
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	first := twice("a", ctx)
+	leave()
+	require.ErrorIs(t, <-first, context.Canceled)
+	assert.True(t, (<-settled).Abandoned)
+	second := twice("b", t.Context())
+	s.replies <- Reply{Result: decide.OK}
+	require.NoError(t, <-second)
+	assert.Equal(t, "b", (<-s.sent).Request.ID)
+	assert.Empty(t, s.sent)
+}
--- a/example_test.go
+++ b/example_test.go
@@ -18,6 +18,9 @@
 type local struct{}
 
 func (local) Send(_ context.Context, a oakthread.Attempt) oakthread.Reply {
+	if !a.Begin() { // its caller has left meanwhile
+		return oakthread.Reply{Result: decide.Moot}
+	}
 	return oakthread.Reply{Result: decide.OK, Warmth: decide.WarmHit, Body: []byte(strings.ToUpper(string(a.Request.Body)))}
 }
 func (local) Probe(context.Context, oakthread.Member) oakthread.Reply { return oakthread.Reply{} }
--- a/internal/platform/conns_test.go
+++ b/internal/platform/conns_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"oakthread"
 	"oakthread/decide"
 )
 
@@ -288,3 +289,46 @@
 	}
 	assert.Len(t, f.lines, 1)
 }
+
+// Guards the last moment: a request that must not be written any more is not, on a new connection nor on a kept one, and
+// what ends so proves that nothing ran.
+func TestRefusedTheFirstByte(t *testing.T) {
+	b := newBox(t, nil)
+	f := NewFleet(setup(t), 10)
+	defer f.Close()
+	for _, kept := range []bool{false, true} {
+		a := attempt(member(b.addr()), "x")
+		if kept {
+			require.Equal(t, decide.OK, f.Send(t.Context(), a).Result)
+		}
+		before := len(b.seen())
+		a.Begin = func() bool { return false }
+		assert.Equal(t, decide.Moot, f.Send(t.Context(), a).Result)
+		o := oakthread.Order{Worker: a.Worker, Key: a.Request.Key, Count: 1, Begin: a.Begin}
+		assert.Equal(t, decide.Moot, f.Load(t.Context(), o).Result)
+		a.Begin, a.Request.ID = nil, third
+		assert.Equal(t, decide.OK, f.Send(t.Context(), a).Result)
+		assert.Equal(t, []string{third}, b.seen()[before:])
+	}
+}
+
+// Guards the close of the longest idle connection against a request that begins on it just then: whichever comes first,
+// no request is written on a connection that is closed for another's sake.
+func TestIdleConnectionsGiveWayOrServe(t *testing.T) {
+	b := newBox(t, nil)
+	f := NewFleet(setup(t), 1)
+	defer f.Close()
+	m := member(b.addr())
+	require.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result)
+	var k *conn
+	for c := range f.conns {
+		k = c
+	}
+	require.NoError(t, k.begin())
+	assert.False(t, k.retire(), "a request has begun on it")
+	k.waiting = false
+	require.True(t, k.retire())
+	require.ErrorIs(t, k.begin(), errUnasked, "a request would be written on a connection about to be closed")
+	require.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result, "another connection serves it")
+	assert.Len(t, b.seen(), 2)
+}
--- /dev/null
+++ b/internal/platform/crossings_test.go
@@ -0,0 +1,266 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread"
+	"oakthread/decide"
+	"oakthread/internal/wire"
+)
+
+// This file forces clients' leaving and news of boxes to cross with what is on its way.
+
+// leave are the ways in which a client can go while its call is in hand.
+var leave = map[string]func(c *net.TCPConn) error{
+	"close":      func(c *net.TCPConn) error { return c.Close() },
+	"reset":      func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() },
+	"half-close": func(c *net.TCPConn) error { return c.CloseWrite() },
+	"close behind bytes of a next request": func(c *net.TCPConn) error {
+		if _, err := io.WriteString(c, "POST /call/7f3a9c21e0b4d655/trigger HT"); err != nil {
+			return err
+		}
+		return c.Close()
+	},
+	"close behind a whole next request": func(c *net.TCPConn) error {
+		if _, err := io.WriteString(c, text(third, "path-check", "x")); err != nil {
+			return err
+		}
+		return c.Close()
+	},
+}
+
+// Guards against work for clients that left: a call whose connection to its box comes up only after its client has gone, in
+// whichever way, is never written, also where nothing may be called off; the connection serves the next call.
+func TestNothingIsWrittenForAClientThatLeft(t *testing.T) {
+	for way, leave := range leave {
+		for _, cancel := range []bool{true, false} {
+			for _, class := range []string{"path-check", "path-book"} {
+				t.Run(fmt.Sprintf("%s, cancel %v, %s", way, cancel, class), func(t *testing.T) {
+					t.Parallel()
+					s := newStage(t, func(x *wire.Setup) { x.Permissions.Cancel = cancel }, nil, newBox(t, nil))
+					s.holdAfter(0)
+					c := s.send(first, class)
+					<-s.came
+					require.NoError(t, leave(c))
+					s.gone(first)
+					close(s.goOn)
+					assert.Equal(t, 200, s.ask(second, class))
+					assert.NotContains(t, s.boxes[0].seen(), first)
+					assert.Contains(t, s.boxes[0].seen(), second)
+					s.over()
+				})
+			}
+		}
+	}
+}
+
+// Guards the same where the close comes in one piece with the call: an attempt may begin with it, and nothing later.
+func TestCallAndCloseInOnePiece(t *testing.T) {
+	s := newStage(t, func(x *wire.Setup) { x.Permissions.Cancel = false }, nil, newBox(t, nil))
+	s.holdAfter(0)
+	c := s.dial()
+	s.write(c, text(first, "path-book", "x"))
+	require.NoError(t, c.Close())
+	for ended := int64(0); ended == 0; { // the handler may end before the call is admitted, and no connection be made
+		s.front.Tally(func(_ string, o *Outcomes) { ended += o.Failed.Load() })
+		runtime.Gosched()
+	}
+	s.core.Counters()
+	s.holdAfter(-1)
+	close(s.goOn)
+	assert.Equal(t, 200, s.ask(second, "path-book"))
+	assert.Equal(t, []string{second}, s.boxes[0].seen())
+	s.over()
+}
+
+// Guards the second connection of an attempt, made where the first was reset before anything was written on it.
+func TestClientLeavesBeforeTheSecondConnection(t *testing.T) {
+	s := newStage(t, func(x *wire.Setup) { x.Permissions.Cancel = false }, nil, newBox(t, nil))
+	dial, n := s.fleet.reach, 0
+	s.fleet.reach = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if n++; n == 1 && err == nil {
+			return c, c.Close()
+		}
+		return c, err
+	}
+	s.holdAfter(1)
+	c := s.send(first, "path-book")
+	<-s.came
+	require.NoError(t, c.Close())
+	s.gone(first)
+	close(s.goOn)
+	assert.Equal(t, 200, s.ask(second, "path-book"))
+	assert.Equal(t, []string{second}, s.boxes[0].seen())
+	s.over()
+}
+
+// Guards hedges: the first box is silent, a second copy is on its way to the other, and the client leaves before it is
+// written.
+func TestClientLeavesBeforeAHedge(t *testing.T) {
+	release := make(chan struct{})
+	silent := func(http.ResponseWriter, *http.Request) { <-release }
+	s := newStage(t, func(x *wire.Setup) { x.Permissions.Cancel, x.Permissions.SecondCopies = false, true }, nil, newBox(t, silent), newBox(t, silent))
+	defer close(release)
+	s.holdAfter(1)
+	c := s.send(first, "path-check")
+	held := <-s.came
+	require.NoError(t, c.Close())
+	s.gone(first)
+	close(s.goOn)
+	to := s.boxes[0]
+	if held.RemoteAddr().String() != to.addr() {
+		to = s.boxes[1]
+	}
+	ctx, done := context.WithTimeout(t.Context(), 100*time.Millisecond) // so that a write would have come: the next one does
+	defer done()
+	a := attempt(member(to.addr()), "x")
+	a.Worker.ID, a.Request.ID = decide.WorkerID(1+btoi(to == s.boxes[1])), second
+	s.fleet.Send(ctx, a)
+	assert.NotContains(t, to.seen(), first)
+}
+
+// lapse makes a function known and lets the belief in its copy lapse, so that the next call waits for an order to load.
+func (s *stage) lapse() {
+	require.Equal(s.t, 200, s.ask(third, "path-check"))
+	time.Sleep(20 * time.Millisecond) // more than the keep-alive
+}
+
+func shortKeep(x *wire.Setup) {
+	x.Specifics.LingerIdle, x.Permissions.Cancel = int64(10*time.Millisecond), false
+}
+
+// Guards calls that wait behind an order to load: the order ends, and the call whose client left is not sent.
+func TestClientLeavesBehindAnOrder(t *testing.T) {
+	ordered, goOn := make(chan bool, 1), make(chan bool)
+	s := newStage(t, shortKeep, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			ordered <- true
+			<-goOn
+			w.Header().Set("X-N", "1")
+		}
+	}))
+	s.lapse()
+	c := s.send(first, "path-book")
+	<-ordered
+	require.NoError(t, c.Close())
+	s.gone(first)
+	close(goOn)
+	assert.Equal(t, 200, s.ask(second, "path-check"))
+	assert.NotContains(t, s.boxes[0].seen(), first)
+	s.over()
+}
+
+// Guards drains and restarts against what is on its way: the list tells of a box while the connection for a call comes up,
+// and nothing is written on that connection. The call goes elsewhere, once.
+func TestNothingIsWrittenToABoxThatIsToGetNothing(t *testing.T) {
+	for name, change := range map[string]func(m *oakthread.Member){
+		"drains":     func(m *oakthread.Member) { m.State = decide.Draining },
+		"is gone":    func(m *oakthread.Member) { m.State = decide.Off },
+		"restarted":  func(m *oakthread.Member) { m.Start = time.Now().Add(-time.Hour) },
+		"has passed": func(m *oakthread.Member) { m.Addr = "127.0.0.1:1" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, func(x *wire.Setup) { x.Permissions.Cancel = false }, nil, newBox(t, nil), newBox(t, nil))
+			s.holdAfter(0)
+			c := s.send(first, "path-book")
+			held := <-s.came
+			s.list(decide.RosterDelta, func(i int, m *oakthread.Member) {
+				if s.boxes[i].addr() == held.RemoteAddr().String() {
+					change(m)
+				}
+			})
+			mine := held.LocalAddr().String()
+			close(s.goOn)
+			assert.Equal(t, 200, s.read(c))
+			runs := 0
+			for _, b := range s.boxes {
+				assert.NotContains(t, b.from, mine, "written on the connection that came up late")
+				runs += len(b.seen())
+			}
+			assert.Equal(t, 1, runs)
+			s.over()
+		})
+	}
+}
+
+// Guards the same for orders to load.
+func TestNoOrderIsWrittenToABoxThatDrains(t *testing.T) {
+	s := newStage(t, shortKeep, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Connection", "close") }))
+	s.lapse()
+	s.holdAfter(0)
+	c := s.send(first, "path-book")
+	<-s.came
+	s.list(decide.RosterDelta, func(_ int, m *oakthread.Member) { m.State = decide.Draining })
+	close(s.goOn)
+	assert.Equal(t, 503, s.read(c), "no other box is there")
+	s.fleet.Probe(t.Context(), oakthread.Member{ID: 1, Addr: s.boxes[0].addr()})
+	assert.Equal(t, []string{third, "GET"}, s.boxes[0].seen())
+	s.over()
+}
+
+// Guards against attempts multiplied by clients that give up early and come again at once, counted at the boxes: one for
+// each time they came.
+func TestComingAgainMultipliesNoAttempts(t *testing.T) {
+	came, release := make(chan string, 64), make(chan struct{})
+	silent := func(_ http.ResponseWriter, r *http.Request) { came <- r.Header.Get("X-Hop-Id"); <-release }
+	s := newStage(t, func(x *wire.Setup) { x.Permissions.SecondCopies = true }, nil, newBox(t, silent), newBox(t, silent))
+	defer close(release)
+	for i := range 10 {
+		id := fmt.Sprintf("%016x", 100+i)
+		c := s.send(id, "path-check")
+		assert.Equal(t, id, <-came)
+		require.NoError(t, c.Close())
+		s.gone(id)
+	}
+	assert.Len(t, append(s.boxes[0].seen(), s.boxes[1].seen()...), 10)
+}
+
+// Guards what a call holds, given back once whether its client's close or its answer comes first: places, sockets, counts.
+// A booking that was written is not written again, and its late end is still learnt.
+func TestLeftCallIsGivenBackOnce(t *testing.T) {
+	for _, closeFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint("close first: ", closeFirst), func(t *testing.T) {
+			t.Parallel()
+			came, goOn := make(chan bool), make(chan bool)
+			s := newStage(t, func(x *wire.Setup) { x.Permissions.Cancel = false }, nil, newBox(t, func(http.ResponseWriter, *http.Request) { came <- true; <-goOn }))
+			c := s.send(first, "path-book")
+			<-came
+			if closeFirst {
+				require.NoError(t, c.Close())
+				s.gone(first)
+				goOn <- true
+			} else {
+				goOn <- true
+				x := <-s.settled
+				assert.Equal(t, oakthread.Served, x.Answer.Outcome)
+				require.NoError(t, c.Close())
+			}
+			for s.core.Counters().Ends[decide.OK] == 0 {
+				runtime.Gosched()
+			}
+			n := s.core.Counters()
+			assert.Equal(t, []int64{1, 1, int64(btoi(!closeFirst)), int64(btoi(closeFirst))}, []int64{n.Taken, n.Attempts, n.Served, n.Abandoned})
+			assert.Equal(t, []string{first}, s.boxes[0].seen())
+			s.end()
+			require.NoError(t, <-s.done)
+			assert.Zero(t, s.front.Pending())
+			s.fleet.Close()
+			for len(s.fleet.slots) > 0 { // the last connection is closed behind us
+				runtime.Gosched()
+			}
+			assert.Empty(t, s.settled)
+		})
+	}
+}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -43,6 +43,7 @@
 var (
 	errNoSocket = errors.New("no socket left")
 	errUnasked  = errors.New("bytes came that belong to no answer")
+	errBarred   = errors.New("the request must not be written any more")
 	errTooLong  = errors.New("the answer is too long")
 	errNoLength = errors.New("the answer's length is not told, or told twice")
 )
@@ -179,7 +180,7 @@
 		}
 	}
 	f.open.Unlock()
-	if longest != nil {
+	if longest != nil && longest.retire() {
 		_ = longest.Close()
 	}
 }
@@ -198,6 +199,7 @@
 	waiting bool      // a request was begun, and its answer has not ended
 	quiet   time.Time // when the last answer ended
 	tainted bool
+	permit  func() bool // asked before the next request's first byte; nil: no need
 }
 
 func (c *conn) idle() time.Duration {
@@ -209,6 +211,14 @@
 	return time.Since(c.quiet)
 }
 
+// retire has a connection carry no further request; false: one has begun meanwhile, and it must stay open.
+func (c *conn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tainted = c.tainted || !c.waiting
+	return !c.waiting
+}
+
 // spent tells that the connection must carry no further request.
 func (c *conn) spent() bool {
 	c.mu.Lock()
@@ -217,8 +227,8 @@
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	if !c.begin() {
-		return 0, errUnasked
+	if err := c.begin(); err != nil {
+		return 0, err
 	}
 	// Counted before it is done: a failure seen meanwhile must not pass for a proof that nothing left.
 	c.begun.Add(int64(len(b)))
@@ -227,20 +237,29 @@
 	return n, err
 }
 
-// begin readies the connection for a request; false: it must carry none.
-func (c *conn) begin() bool {
+// begin readies the connection for a request, unless it must carry none or the request must not be written any more.
+func (c *conn) begin() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting { // the rest of a request; after an answer whose end is not seen here, another one
-		return !c.tainted
+		if c.tainted {
+			return errUnasked
+		}
+		return nil
 	}
 	if rest := settle - time.Since(c.quiet); rest > 0 && c.framer.lines > 0 {
 		c.mu.Unlock()
 		time.Sleep(rest)
 		c.mu.Lock()
 	}
-	c.waiting = !c.tainted
-	return c.waiting
+	if c.tainted {
+		return errUnasked
+	}
+	if c.permit != nil && !c.permit() {
+		return errBarred
+	}
+	c.waiting = true
+	return nil
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -295,9 +314,13 @@
 	return io.NopCloser(struct{ io.Reader }{bytes.NewReader(b)})
 }
 
-// trip writes one request and reads its whole answer. unsent: nothing of the request was written.
-func (f *Fleet) trip(ctx context.Context, m oakthread.Member, method, path string, h http.Header, body []byte) (resp *http.Response, got []byte, unsent bool, err error) {
+// trip writes one request and reads its whole answer. unsent: nothing of the request was written. permit is asked right
+// before its first byte is, and a connection that comes up late stays for the next; nil: no need to ask.
+func (f *Fleet) trip(ctx context.Context, m oakthread.Member, permit func() bool, method, path string, h http.Header, body []byte) (resp *http.Response, got []byte, unsent bool, err error) {
 	for try := 0; ; try++ {
+		if ctx.Err() != nil {
+			return nil, nil, true, ctx.Err()
+		}
 		var c *conn
 		var before int64
 		reused := false
@@ -306,6 +329,9 @@
 			httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 				if c, _ = i.Conn.(*conn); c != nil {
 					before, reused = c.begun.Load(), i.Reused
+					c.mu.Lock()
+					c.permit = permit
+					c.mu.Unlock()
 				}
 			}}))
 		resp, err = f.line(m).RoundTrip(req)
@@ -409,7 +435,7 @@
 	if len(a.Request.Body) == 0 {
 		method = http.MethodGet
 	}
-	resp, body, unsent, err := f.trip(ctx, a.Worker, method, "/c/"+(*f.classes.Load())[a.Request.Class], h, a.Request.Body)
+	resp, body, unsent, err := f.trip(ctx, a.Worker, a.Begin, method, "/c/"+(*f.classes.Load())[a.Request.Class], h, a.Request.Body)
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
@@ -490,7 +516,7 @@
 
 // Probe asks an executor for its load.
 func (f *Fleet) Probe(ctx context.Context, m oakthread.Member) oakthread.Reply {
-	resp, _, unsent, err := f.trip(ctx, m, http.MethodGet, "/busy", http.Header{"User-Agent": {""}}, nil)
+	resp, _, unsent, err := f.trip(ctx, m, nil, http.MethodGet, "/busy", http.Header{"User-Agent": {""}}, nil)
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
@@ -504,7 +530,7 @@
 // Load orders copies of a function. 500 is a failed load, 503 no room.
 func (f *Fleet) Load(ctx context.Context, o oakthread.Order) oakthread.Reply {
 	path := "/c/" + url.PathEscape(o.Key) + "/" + strconv.Itoa(o.Count)
-	resp, _, unsent, err := f.trip(ctx, o.Worker, http.MethodPut, path, http.Header{"User-Agent": {""}}, nil)
+	resp, _, unsent, err := f.trip(ctx, o.Worker, o.Begin, http.MethodPut, path, http.Header{"User-Agent": {""}}, nil)
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
@@ -513,5 +539,5 @@
 
 // Drop unloads the idle copies of a function; nothing is learned of it.
 func (f *Fleet) Drop(ctx context.Context, o oakthread.Order) {
-	_, _, _, _ = f.trip(ctx, o.Worker, http.MethodDelete, "/c/"+url.PathEscape(o.Key), http.Header{"User-Agent": {""}}, nil)
+	_, _, _, _ = f.trip(ctx, o.Worker, nil, http.MethodDelete, "/c/"+url.PathEscape(o.Key), http.Header{"User-Agent": {""}}, nil)
 }
--- a/oakthread.go
+++ b/oakthread.go
@@ -26,10 +26,10 @@
 	MemoryMB float64   // of one loaded copy
 	Lanes    int       // calls that a copy runs at a time
 	LoadTime time.Duration
-	Repeat   bool   // the caller says that it asked before
+	Repeat   bool // the caller says that it asked before
 	// IdempotencyKey is the same for all tries of one call; workers that are given it drop repeats. Handed on as it is.
 	IdempotencyKey string
-	Ref      string // what the caller knows the request by; for observers alone
+	Ref            string // what the caller knows the request by; for observers alone
 }
 
 // Outcome is how a request ended.
@@ -91,6 +91,7 @@
 	Worker  Member
 	N       int
 	Until   time.Time
+	Begin   func() bool // as in Order
 }
 
 // Reply is the end of an attempt, probe or order. What cannot be told stays zero.
@@ -129,10 +130,13 @@
 	Func   decide.FuncID
 	Key    string // as a caller wrote it last
 	Count  int
+	// Begin is asked right before the first byte is written; false: nothing may be written any more, and the end is
+	// Moot. Its caller may have left, or its worker begun to drain, while a connection came up. nil: always.
+	Begin func() bool
 }
 
 // Workers carries attempts, probes and orders. Each method blocks until its end or that of ctx, is called from
-// many goroutines, and writes at most one request for each call.
+// many goroutines, and writes at most one request for each call. Send and Load ask Begin before they write it.
 type Workers interface {
 	Send(ctx context.Context, a Attempt) Reply
 	Probe(ctx context.Context, m Member) Reply
