Let one bad event of discovery end no news, and name the executor or line that cannot be used

Read line by line: a line of the command channel that cannot be read, or one executor in it with an unknown phase or a bad address, ended the connection; the same line came again after resume, for ever, and nothing more was told, no drain either.

Change: an executor that cannot be used is left out, one in an unknown phase counts as draining, each with one line; a line that cannot be read is asked for once more and then passed over. A configuration is read as strictly as before. A lasting error of the peers' socket no longer spins.

Tests on real sockets: TestBadEventsEndNoNews (seen to fail without the mend); guarded already and now shown: TestSilentWatchIsGivenUpAndAQuietOneKept, TestEventsInPartsTwiceAndWithAGap, TestMoveWithinAnEvent.

--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -28,7 +28,8 @@
 	channelMost  = 400 * time.Millisecond // between two tries: what is told counts as told 2 s after a break
 	maxLine      = 4 << 20
 	maxDatagram  = 256
-	datagramWait = 256 // datagrams that may wait to be sent
+	datagramWait = 256                   // datagrams that may wait to be sent
+	datagramRest = 10 * time.Millisecond // after a failed read
 )
 
 // Channel follows the command channel. It implements oakthread.Membership.
@@ -40,7 +41,9 @@
 	cursor int64
 	epoch  string
 	dialer *roster.Dialer
-	kept   bool // the list is kept on disk: a numbering may have started over meanwhile
+	kept   bool   // the list is kept on disk: a numbering may have started over meanwhile
+	bad    string // the last line that cannot be read
+	gap    bool   // one was passed over: the next number is the next there is
 	log    *slog.Logger
 }
 
@@ -201,7 +204,17 @@
 func (c *Channel) take(line []byte, first bool, f Feed) error {
 	ev, err := parseEvent(line, c.setup)
 	if err != nil {
-		return fmt.Errorf("line %.80q: %w", line, err)
+		// It may be the connection's fault. One that comes again is: without it passed over, nothing would be told any more.
+		if c.bad != string(line) {
+			c.bad = string(line)
+			return fmt.Errorf("line %.80q: %w", line, err)
+		}
+		c.gap = true
+		c.log.Error("discovery's event cannot be read, passed over", "after", c.cursor, "line", fmt.Sprintf("%.80q", line), "err", err)
+		return nil
+	}
+	for _, odd := range ev.Odd {
+		c.log.Error("discovery tells of an executor that cannot be used", "cursor", ev.Cursor, "err", odd)
 	}
 	if c.kept && (ev.Beat && ev.Cursor < c.cursor || ev.Epoch != "" && c.epoch != "" && ev.Epoch != c.epoch) {
 		c.cursor, c.epoch = 0, ""
@@ -211,6 +224,12 @@
 	if ev.Epoch != "" {
 		c.epoch = ev.Epoch
 	}
+	if c.gap && ev.Cursor > c.cursor {
+		c.gap, first = false, true
+		if ev.Beat {
+			c.cursor = ev.Cursor
+		}
+	}
 	if ev.Beat && ev.Cursor > c.cursor || !ev.Beat && !first && ev.Cursor > c.cursor+1 {
 		return fmt.Errorf("events after %d are missing, the last is %d", c.cursor, ev.Cursor)
 	}
@@ -332,6 +351,10 @@
 		}
 		if err != nil {
 			p.log.Debug("peer socket", "err", err) // such as a peer that is down
+			select {
+			case <-ctx.Done():
+			case <-time.After(datagramRest): // one that lasts must not spin
+			}
 			continue
 		}
 		who, known := p.from[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -144,6 +144,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("known.cmds[%d]: %w", i, err)
 		}
+		if len(ev.Odd) > 0 {
+			return nil, fmt.Errorf("known.cmds[%d]: %w", i, ev.Odd[0])
+		}
 		c.Known = append(c.Known, ev)
 		c.Cursor = max(c.Cursor, ev.Cursor)
 	}
@@ -154,34 +157,40 @@
 type Event struct {
 	Cursor int64
 	Beat   bool
-	Epoch  string // of the numbering, where discovery tells one
-	Told   bool   // it tells of executors
+	Epoch  string  // of the numbering, where discovery tells one
+	Told   bool    // it tells of executors
+	Odd    []error // of those that cannot be used: left out, or draining where their phase is not known
 	Roster oakthread.Roster
 }
 
+// eventLine and listedBox are an event as the command channel writes it.
+type eventLine struct {
+	Cursor *int64 `json:"cursor"`
+	Epoch  string `json:"epoch"`
+	Nodes  *struct {
+		Complete bool        `json:"complete"`
+		Members  []listedBox `json:"members"`
+	} `json:"nodes"`
+}
+
+type listedBox struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
 // parseEvent decodes a line of the command channel.
 func parseEvent(line []byte, s *wire.Setup) (Event, error) {
 	text := strings.TrimSpace(string(line))
 	if n, err := strconv.ParseInt(text, 10, 64); err == nil && n >= 0 {
 		return Event{Cursor: n, Beat: true}, nil
 	}
-	var f struct {
-		Cursor *int64 `json:"cursor"`
-		Epoch  string `json:"epoch"`
-		Nodes  *struct {
-			Complete bool `json:"complete"`
-			Members  []struct {
-				ID       string  `json:"id"`
-				HostPort string  `json:"host_port"`
-				Locality string  `json:"locality"`
-				Flavor   string  `json:"flavor"`
-				Cell     int     `json:"cell"`
-				Phase    string  `json:"phase"`
-				Size     float64 `json:"size"`
-				UpSince  int64   `json:"up_since_ms"`
-			} `json:"members"`
-		} `json:"nodes"`
-	}
+	var f eventLine
 	if err := json.Unmarshal([]byte(text), &f); err != nil {
 		return Event{}, err
 	}
@@ -198,7 +207,8 @@
 	}
 	for i, m := range f.Nodes.Members {
 		if m.ID == "" {
-			return Event{}, fmt.Errorf("members[%d]: field id is missing", i)
+			ev.Odd = append(ev.Odd, fmt.Errorf("members[%d]: field id is missing", i))
+			continue
 		}
 		e := oakthread.Member{ID: WorkerID(m.ID), Addr: m.HostPort, Zone: place(s.Zones, m.Locality),
 			Kind: place(s.Kinds, m.Flavor), Cell: m.Cell, Weight: m.Size}
@@ -210,11 +220,13 @@
 		case "Gone":
 			e.State = decide.Off
 		default:
-			return Event{}, fmt.Errorf("members[%d]: phase %q is not known", i, m.Phase)
+			e.State = decide.Draining
+			ev.Odd = append(ev.Odd, fmt.Errorf("members[%d]: phase %q of %q is not known", i, m.Phase, m.ID))
 		}
 		if e.State != decide.Off {
 			if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
-				return Event{}, fmt.Errorf("members[%d]: host_port: %w", i, err)
+				ev.Odd = append(ev.Odd, fmt.Errorf("members[%d]: host_port %q of %q: %w", i, m.HostPort, m.ID, err))
+				continue
 			}
 		}
 		if m.UpSince > 0 {
