Test command that passes over just the tests of KNOWN-RED.txt, and prints them

Need: a test that fails for a real fault which cannot be mended now may land, named with cause and issue, three at most. Without the file nothing is passed over, and there is none now.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 test:
-	go test -race -count=1 ./...
+	go run ./internal/knownred -race -count=1
 
 lint:
 	@bad=$$(gofmt -l .); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
