--- a/cmd/oakthread/main_test.go
+++ b/cmd/oakthread/main_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -72,19 +73,27 @@
 // The test binary is the program itself where this is set, so that signals and exit codes are the real ones.
 const asProgram = "OAKTHREAD_AS_PROGRAM"
 
+// descriptors, where set, is how many the program may hold.
+const descriptors = "OAKTHREAD_DESCRIPTORS"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
+		if n, err := strconv.ParseUint(os.Getenv(descriptors), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
 	os.Exit(m.Run())
 }
 
-func program(t *testing.T, config string) (*exec.Cmd, *bufio.Scanner) {
+func program(t *testing.T, config string, env ...string) (*exec.Cmd, *bufio.Scanner) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1", "ROUTER_CONFIG="+path)
+	cmd.Env = append(append(os.Environ(), env...), asProgram+"=1", "ROUTER_CONFIG="+path)
 	out, err := cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -93,6 +94,30 @@
 	return n
 }
 
+// ColdLoad is the most that a box that started at start was sent while it was cold, as a part of what is put down to chance:
+// in any window of the length that the settings name, N calls of mean work and twice the root of N and two more, N being
+// what the settings allow it at the window's end. seen is in order of time.
+func ColdLoad(f *Figures, start time.Time, seen []Sight) (most float64) {
+	mean := 0.0
+	for _, c := range f.Classes {
+		mean += c.Share * float64(c.Work)
+	}
+	b := NewBox(f.Box, start)
+	from, sum := 0, 0.0
+	weight := func(s Sight) float64 { return float64(f.Classes[s.Class].Work) / mean }
+	for _, s := range seen {
+		sum += weight(s)
+		for ; s.At.Sub(seen[from].At) > f.Box.Fall; from++ {
+			sum -= weight(seen[from])
+		}
+		if s.At.Sub(start) < f.Box.Warm {
+			n := f.Box.Factor * b.Capacity(s.At) * float64(f.Box.Cores) * float64(f.Box.Fall) / mean
+			most = max(most, sum/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return most
+}
+
 // Oversize counts datagrams over the wire's limit.
 func Oversize(seen []Datagram) (n int) {
 	for _, d := range seen {
