Keep a late second answer from the next call: a connection settles 10 ms, and refused flights stay refused

Found by its own test, too: a flight whose first connection was reset unwritten counted as begun, so the second connection was written on for a client that had left (TestClientLeavesBeforeTheSecondConnection, one run in a few).

Change: an executor has lanes (Transports); one that has settled is taken, else one request waits for it and others get a lane of their own. A flight is asked anew for each connection.

Tests: TestLateSecondAnswerIsNobodys (fails without: another call's answer, or none), TestOneRequestWaitsForAConnectionToSettle, TestSettledConnectionsAreUsedAgain, TestNothingBeginsForACallerThatLeft (extended, fails without), TestCutAnswersReachNoClient (guarded already).

--- a/core.go
+++ b/core.go
@@ -107,22 +107,22 @@
 	begun, barred bool
 }
 
-// begin is asked right before the first byte is written; false: nothing may be written any more.
+// begin is asked right before the first byte is written; false: nothing may be written any more. Asked again, for another
+// connection since nothing was written on the first, it answers anew.
 func (f *flight) begin() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.barred = f.barred || !f.begun && f.caller.Err() != nil
-	f.begun = f.begun || !f.barred
-	return !f.barred
+	f.begun = !f.barred && f.caller.Err() == nil
+	return f.begun
 }
 
-// bar ends a flight that has not begun.
+// bar has a flight begin no more, and ends it where it has not begun.
 func (f *flight) bar() {
 	f.mu.Lock()
-	bars := !f.begun
-	f.barred = f.barred || bars
+	f.barred = true
+	begun := f.begun
 	f.mu.Unlock()
-	if bars {
+	if !begun {
 		f.off(errBarred)
 	}
 }
--- a/core_test.go
+++ b/core_test.go
@@ -331,7 +331,7 @@
 	f := &flight{caller: t.Context(), off: func(error) { t.Error("what has begun was barred") }}
 	require.True(t, f.begin())
 	f.bar()
-	assert.True(t, f.begin())
+	assert.False(t, f.begin(), "asked again, for another connection")
 	assert.Zero(t, core.Counters().Served)
 }
 
--- a/internal/platform/conns_test.go
+++ b/internal/platform/conns_test.go
@@ -296,6 +296,7 @@
 	b := newBox(t, nil)
 	f := NewFleet(setup(t), 10)
 	defer f.Close()
+	f.settle = 0 // connections are used again at once
 	for _, kept := range []bool{false, true} {
 		a := attempt(member(b.addr()), "x")
 		if kept {
@@ -329,6 +330,7 @@
 	k.waiting = false
 	require.True(t, k.retire())
 	require.ErrorIs(t, k.begin(), errUnasked, "a request would be written on a connection about to be closed")
+	require.NoError(t, k.Close())
 	require.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result, "another connection serves it")
 	assert.Len(t, b.seen(), 2)
 }
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -1,12 +1,14 @@
 package platform
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,7 +59,12 @@
 					assert.Equal(t, 200, s.ask(second, class))
 					assert.NotContains(t, s.boxes[0].seen(), first)
 					assert.Contains(t, s.boxes[0].seen(), second)
+					assert.LessOrEqual(t, len(s.fleet.slots), 2, "the late connection is used or counted")
 					s.over()
+					s.fleet.Close()
+					for len(s.fleet.slots) > 0 { // each is closed, and its place free
+						runtime.Gosched()
+					}
 				})
 			}
 		}
@@ -264,3 +271,155 @@
 		})
 	}
 }
+
+// Guards against a cut answer that passes for a whole one: cut in head or body, by a close or a reset, in chunks or not, it
+// is no answer, and a booking that may have run is told as failed. A reset behind a whole answer cuts nothing.
+func TestCutAnswersReachNoClient(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   int
+	}{
+		"nothing":               {"", 502},
+		"in the head":           {"HTTP/1.1 200 OK\r\nContent-Le", 502},
+		"behind the head":       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", 502},
+		"in the body":           {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslo", 502},
+		"in a chunk":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nsl", 502},
+		"before the last chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nslot\r\n", 502},
+		"behind the answer":     {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslot", 200},
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", reset ", reset), func(t *testing.T) {
+				t.Parallel()
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				defer ln.Close()
+				runs := make(chan string, 8)
+				go func() {
+					for {
+						in, err := ln.Accept()
+						if err != nil {
+							return
+						}
+						if r, err := http.ReadRequest(bufio.NewReader(in)); err == nil {
+							_, _ = io.Copy(io.Discard, r.Body)
+							runs <- r.Header.Get("X-Hop-Id")
+							_, _ = io.WriteString(in, c.answer)
+						}
+						if reset {
+							_ = in.(*net.TCPConn).SetLinger(0)
+						}
+						in.Close()
+					}
+				}()
+				s := newStage(t, nil, nil)
+				s.core.Roster(oakthread.Roster{Kind: decide.RosterFull, Members: []oakthread.Member{member(ln.Addr().String())}})
+				in := s.send(first, "path-book")
+				resp, err := http.ReadResponse(bufio.NewReader(in), nil)
+				require.NoError(t, err)
+				got, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				assert.Equal(t, c.want, resp.StatusCode)
+				if c.want == 200 {
+					assert.Equal(t, "slot", string(got))
+				} else {
+					assert.Empty(t, got)
+				}
+				assert.Len(t, runs, 1, "a booking that may have run is not sent again")
+				s.over()
+			})
+		}
+	}
+}
+
+// Guards against a second answer that comes late, when the next call has been taken by the same box: that call goes on
+// another connection, gets its own answer, and the one that brought too much carries nothing more.
+func TestLateSecondAnswerIsNobodys(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	answer := func(c net.Conn, body string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	var mu sync.Mutex
+	var before net.Conn // on which a call has been answered
+	conns := 0
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns++
+			mu.Unlock()
+			go func() {
+				defer in.Close()
+				for rd := bufio.NewReader(in); ; {
+					r, err := http.ReadRequest(rd)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					mu.Lock()
+					if before != nil { // late: the next call is here
+						answer(before, "of the call before")
+					}
+					answer(in, "of "+r.Header.Get("X-Hop-Id"))
+					before = in
+					mu.Unlock()
+				}
+			}()
+		}
+	}()
+	f := NewFleet(setup(t), 10)
+	defer f.Close()
+	f.settle = time.Hour // the machine may be slow
+	f.line(member(ln.Addr().String())).waiting = true
+	for i := range 5 {
+		a := attempt(member(ln.Addr().String()), "x")
+		a.Request.ID = fmt.Sprintf("%016x", i)
+		ctx, done := context.WithTimeout(t.Context(), 10*time.Second)
+		r := f.Send(ctx, a)
+		done()
+		require.Equal(t, decide.OK, r.Result)
+		assert.Equal(t, "of "+a.Request.ID, string(r.Body))
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, 5, conns)
+}
+
+// Guards the wait for a connection to settle: one request waits, until its time is over, and another goes on at once.
+func TestOneRequestWaitsForAConnectionToSettle(t *testing.T) {
+	b := newBox(t, nil)
+	f := NewFleet(setup(t), 10)
+	defer f.Close()
+	m := member(b.addr())
+	require.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result)
+	f.settle = time.Hour
+	ctx, stop := context.WithCancel(t.Context())
+	waits := make(chan decide.Result, 1)
+	go func() { waits <- f.Send(ctx, attempt(m, "x")).Result }()
+	for waiting := false; !waiting; runtime.Gosched() {
+		f.mu.Lock()
+		waiting = f.lines[m.ID].waiting
+		f.mu.Unlock()
+	}
+	assert.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result)
+	stop()
+	assert.Equal(t, decide.Moot, <-waits)
+	assert.Len(t, b.seen(), 2)
+}
+
+// Guards the cost of that: once settled, a connection is used again.
+func TestSettledConnectionsAreUsedAgain(t *testing.T) {
+	b := newBox(t, nil)
+	f := NewFleet(setup(t), 10)
+	defer f.Close()
+	for range 5 {
+		f.settle = 0 // as if time had passed
+		require.Equal(t, decide.OK, f.Send(t.Context(), attempt(member(b.addr()), "x")).Result)
+	}
+	assert.Len(t, f.slots, 1)
+	assert.Len(t, f.lines[1].lanes, 1)
+}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -1,6 +1,6 @@
 package platform
 
-// This file owns the connections to executors: one http.Transport for each of them, so that an address that
+// This file owns the connections to executors: Transports of their own for each of them, so that an address that
 // passes to a new executor never meets an old connection, and one count of sockets over all. It must never
 // write more than one request for an attempt, say of a request that it never ran without proof, nor take bytes that
 // an executor wrote unasked for an answer.
@@ -30,14 +30,15 @@
 )
 
 const (
-	maxAnswer   = 1 << 20                // bytes of an executor's answer
-	smallAnswer = 16 << 10               // up to here an answer is not counted
-	answersRoom = 4 << 20                // bytes of all greater answers together
-	idlePerHost = 64                     // a burst's connections are kept: a handshake costs both sides more than a socket
-	idleShare   = 0.6                    // of the time after which an executor closes an idle connection, we do
-	idleLeast   = 100 * time.Millisecond // a connection used later than this does not give way
-	settle      = 2 * time.Millisecond   // after an answer, before the next request: what belongs to none shows by then
-	lineKeptFor = time.Minute            // an executor's Transport that nothing uses
+	maxAnswer      = 1 << 20                // bytes of an executor's answer
+	smallAnswer    = 16 << 10               // up to here an answer is not counted
+	answersRoom    = 4 << 20                // bytes of all greater answers together
+	idlePerHost    = 64                     // a burst's connections are kept: a handshake costs both sides more than a socket
+	idleShare      = 0.6                    // of the time after which an executor closes an idle connection, we do
+	idleLeast      = 100 * time.Millisecond // a connection used later than this does not give way
+	settle         = 10 * time.Millisecond  // after an answer, before the next request: what belongs to none shows by then
+	mostTransports = 16                     // Transports for one executor
+	lineKeptFor    = time.Minute            // an executor's Transports that nothing uses
 )
 
 var (
@@ -63,6 +64,7 @@
 	connect time.Duration
 	reach   func(ctx context.Context, network, addr string) (net.Conn, error)
 	idle    time.Duration
+	settle  time.Duration
 	slots   chan struct{} // one for each open connection
 	room    atomic.Int64  // bytes that answers may yet take
 	mu      sync.Mutex
@@ -71,18 +73,33 @@
 	conns   map[*conn]struct{}
 }
 
-// line is the connections to one executor.
+// line is the connections to one executor: lanes, in the order in which they are preferred. Guarded by the Fleet's mu.
 type line struct {
 	member oakthread.Member
 	used   time.Time
+	lanes  []*lane
+	// waiting: a request waits for one of them to settle.
+	waiting bool
+}
+
+// lane is a Transport and when an answer last ended on it. A Transport hands the connection used last to the next request;
+// a late second answer on it would be read as the answer to that.
+type lane struct {
 	*http.Transport
+	freed time.Time
+}
+
+func (l *line) close() {
+	for _, x := range l.lanes {
+		x.CloseIdleConnections()
+	}
 }
 
 // NewFleet makes a Fleet that holds at most sockets connections.
 func NewFleet(s *wire.Setup, sockets int) *Fleet {
 	f := &Fleet{connect: s.ConnectTimeout(), lines: map[decide.WorkerID]*line{}, conns: map[*conn]struct{}{},
 		slots: make(chan struct{}, sockets), reach: (&net.Dialer{}).DialContext,
-		idle: time.Duration(idleShare * float64(s.ConnIdle()))}
+		idle: time.Duration(idleShare * float64(s.ConnIdle())), settle: settle}
 	var names []string
 	for _, c := range s.Categories {
 		names = append(names, c.Name)
@@ -95,25 +112,20 @@
 	return f
 }
 
-// line is the Transport of an executor, made where there is none. One made late, for an executor already forgotten, is
-// nobody's to drop: those unused for long go when the next is made.
+// line is the line of an executor, made where there is none; the caller holds mu. One made late, for an executor already
+// forgotten, is nobody's to drop: those unused for long go when the next is made.
 func (f *Fleet) line(m oakthread.Member) *line {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	l := f.lines[m.ID]
 	if l == nil || l.member.Addr != m.Addr || !l.member.Start.Equal(m.Start) {
 		if l != nil {
-			l.CloseIdleConnections()
+			l.close()
 		}
-		l = &line{member: m, Transport: &http.Transport{
-			Proxy: nil, DisableCompression: true, DialContext: f.dial, MaxIdleConnsPerHost: idlePerHost,
-			IdleConnTimeout: f.idle, MaxResponseHeaderBytes: 16 << 10, ForceAttemptHTTP2: false,
-			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10}}
+		l = &line{member: m}
 		f.lines[m.ID] = l
 		for id, x := range f.lines {
 			if x != l && time.Since(x.used) > lineKeptFor {
 				delete(f.lines, id)
-				x.CloseIdleConnections()
+				x.close()
 			}
 		}
 	}
@@ -121,13 +133,50 @@
 	return l
 }
 
+// lane is the first lane of an executor that has settled. Where none has, one request waits for that, and others meanwhile
+// get a lane of their own.
+func (f *Fleet) lane(ctx context.Context, m oakthread.Member) (*line, *lane) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.line(m)
+	var oldest *lane
+	for _, x := range l.lanes {
+		if l.used.Sub(x.freed) >= f.settle {
+			return l, x
+		}
+		if oldest == nil || x.freed.Before(oldest.freed) {
+			oldest = x
+		}
+	}
+	switch {
+	case oldest != nil && !l.waiting:
+		l.waiting = true
+		t := time.NewTimer(f.settle - l.used.Sub(oldest.freed))
+		f.mu.Unlock()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		f.mu.Lock()
+		l.waiting = false
+		return l, oldest
+	case len(l.lanes) == mostTransports:
+		return l, oldest // its connection waits for the rest
+	}
+	x := &lane{Transport: &http.Transport{Proxy: nil, DisableCompression: true, DialContext: f.dial, MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout: f.idle, MaxResponseHeaderBytes: 16 << 10, ForceAttemptHTTP2: false, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10}}
+	l.lanes = append(l.lanes, x)
+	return l, x
+}
+
 // Forget drops the connections to an executor that has gone or starts anew.
 func (f *Fleet) Forget(id decide.WorkerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l := f.lines[id]; l != nil {
 		delete(f.lines, id)
-		l.CloseIdleConnections()
+		l.close()
 	}
 }
 
@@ -136,7 +185,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, l := range f.lines {
-		l.CloseIdleConnections()
+		l.close()
 	}
 }
 
@@ -162,7 +211,7 @@
 		<-f.slots
 		return nil, dialError{err}
 	}
-	k := &conn{Conn: c, fleet: f, framer: framer{answers: true}, quiet: time.Now()}
+	k := &conn{Conn: c, fleet: f, settle: f.settle, framer: framer{answers: true}, quiet: time.Now()}
 	f.open.Lock()
 	f.conns[k] = struct{}{}
 	f.open.Unlock()
@@ -190,9 +239,10 @@
 // would read them as the answer to the next request. A connection that brought any carries no further request.
 type conn struct {
 	net.Conn
-	fleet *Fleet
-	once  sync.Once
-	begun atomic.Int64 // bytes whose writing has begun and did not fail
+	fleet  *Fleet
+	once   sync.Once
+	settle time.Duration // after an answer, before the next request
+	begun  atomic.Int64  // bytes whose writing has begun and did not fail
 
 	mu      sync.Mutex
 	framer  framer
@@ -241,17 +291,17 @@
 func (c *conn) begin() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if rest := c.settle - time.Since(c.quiet); !c.waiting && rest > 0 && c.framer.lines > 0 {
+		c.mu.Unlock()
+		time.Sleep(rest)
+		c.mu.Lock()
+	}
 	if c.waiting { // the rest of a request; after an answer whose end is not seen here, another one
 		if c.tainted {
 			return errUnasked
 		}
 		return nil
 	}
-	if rest := settle - time.Since(c.quiet); rest > 0 && c.framer.lines > 0 {
-		c.mu.Unlock()
-		time.Sleep(rest)
-		c.mu.Lock()
-	}
 	if c.tainted {
 		return errUnasked
 	}
@@ -334,10 +384,14 @@
 					c.mu.Unlock()
 				}
 			}}))
-		resp, err = f.line(m).RoundTrip(req)
+		l, x := f.lane(ctx, m)
+		resp, err = x.RoundTrip(req)
 		if err == nil {
 			got, err = f.body(resp)
 			resp.Body.Close()
+			f.mu.Lock()
+			x.freed = time.Now()
+			f.mu.Unlock()
 			if c != nil && c.spent() {
 				_ = c.Close()
 			}
@@ -350,11 +404,10 @@
 		// The executor had closed an idle connection, or reset a new one, before anything was written on it: another
 		// will do.
 		if try == 0 && ctx.Err() == nil && (c != nil && unsent || c == nil && errors.Is(err, syscall.ECONNRESET)) {
-			f.mu.Lock()
-			l := f.lines[m.ID]
-			f.mu.Unlock()
-			if l != nil && reused {
-				l.CloseIdleConnections()
+			if reused {
+				f.mu.Lock()
+				l.close()
+				f.mu.Unlock()
 			}
 			continue
 		}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -220,6 +220,7 @@
 			}
 		}()
 		f := NewFleet(setup(t), 10)
+		f.settle = 0 // the second goes on the same connection at once
 		m := member(ln.Addr().String())
 		assert.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, body)).Result)
 		assert.Equal(t, decide.Reset, f.Send(t.Context(), attempt(m, body)).Result, "it may have run")
@@ -289,6 +290,7 @@
 	defer srv.Close()
 	f := NewFleet(setup(t), 10)
 	defer f.Close()
+	f.settle = 0 // connections are used again at once
 	m := member(srv.Listener.Addr().String())
 	f.Send(t.Context(), attempt(m, "x"))
 	f.Send(t.Context(), attempt(m, "x"))
