--- a/cmd/oakthread/crossings_test.go
+++ b/cmd/oakthread/crossings_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -263,3 +264,62 @@
 		})
 	}
 }
+
+// Guards readiness after a restart: with a list in the configuration a program is ready within 10 s, whatever discovery does,
+// and eight that start at once are.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	ex := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+	defer ex.Close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections, by its backlog, and never says a word
+	require.NoError(t, err)
+	defer silent.Close()
+	rude, err := net.Listen("tcp", "127.0.0.1:0") // says what cannot be read, and goes
+	require.NoError(t, err)
+	defer rude.Close()
+	go func() {
+		for {
+			c, err := rude.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "{\"cursor\":\x00\n")
+			c.Close()
+		}
+	}()
+	ready := make(chan error, 8)
+	var running []*exec.Cmd
+	var ends []func()
+	for i := range 8 {
+		channel := []string{"", freeAddr(t), silent.Addr().String(), rude.Addr().String()}[i%4]
+		addr := freeAddr(t)
+		began := time.Now()
+		cmd, log := program(t, configuration(addr, channel, whole(ex.Listener.Addr().String()), settings))
+		go func() {
+			for code := 0; code != 200; {
+				if resp, err := http.Get("http://" + addr + "/ping"); err == nil {
+					resp.Body.Close()
+					code = resp.StatusCode
+				}
+				if time.Since(began) > 10*time.Second {
+					ready <- fmt.Errorf("with discovery at %q: not ready", channel)
+					return
+				}
+			}
+			ready <- nil
+		}()
+		running = append(running, cmd)
+		ends = append(ends, func() {
+			until(t, log, "msg=ended")
+			assert.NoError(t, cmd.Wait(), "exit code 0")
+		})
+	}
+	for range 8 {
+		require.NoError(t, <-ready)
+	}
+	for _, cmd := range running {
+		require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	}
+	for _, end := range ends {
+		end()
+	}
+}
