--- a/cmd/oakthread/crossings_test.go
+++ b/cmd/oakthread/crossings_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -323,3 +324,57 @@
 		end()
 	}
 }
+
+// Guards a quiet day on which four in ten of what is loaded come in a new version at once: no storm of loads, orders within
+// the ration, calls served on, and the old copies go. Counted at the boxes.
+func TestNewVersionsOnAQuietDay(t *testing.T) {
+	const n, boxes, models = 6, 8, 40
+	f := lab.PlannerFigures()
+	f.Box.Keep = 3 * time.Second
+	load := lab.Load{Rate: 20, Models: models, Zipf: 0.6, Retries: 1}
+	r := fleet(t, lab.RigSize{Dispatchers: n, Boxes: boxes, Seed: 14, Figures: f, Load: load})
+	load.NewAt = time.Now().Add(4 * time.Second)
+	for _, c := range r.Called {
+		c.Renew(load.NewAt)
+	}
+	r.Send(t.Context(), nil)
+	span(t, time.Until(load.NewAt))
+	span(t, 2*f.Box.Keep)
+	r.Quiet()
+	end := time.Now()
+	loads, fresh := 0, 0
+	for rank := range models {
+		was, is := load.Version(rank)
+		if was == is {
+			continue
+		}
+		fresh++
+		for i, b := range r.Boxes {
+			b.Change(func(x *lab.Box) {
+				loads += x.Loads(is)
+				assert.False(t, x.Holds(end, was), "box %d still holds the old version of model %d", i, rank)
+			})
+		}
+	}
+	t.Logf("%d loads of %d new versions", loads, fresh)
+	assert.Greater(t, fresh, models/4)
+	assert.Less(t, loads, 3*fresh, "loads of new versions")
+	var orders, calls []time.Time
+	for _, b := range r.Boxes {
+		_, os := b.Seen()
+		orders = append(orders, os...)
+	}
+	for _, c := range r.Calls(nil) {
+		for _, x := range c.Tries {
+			calls = append(calls, x.Sent)
+		}
+	}
+	slices.SortFunc(orders, time.Time.Compare)
+	slices.SortFunc(calls, time.Time.Compare)
+	assert.Zero(t, lab.OverRation(orders, calls, 5*time.Second, 6*n, 0.3, 0.15), "orders beyond the ration of all")
+	before := lab.Served(r.Calls(nil), load.NewAt.Add(-2*time.Second), load.NewAt, nil)
+	after := lab.Served(r.Calls(nil), load.NewAt, load.NewAt.Add(2*f.Box.Keep), nil)
+	t.Logf("served %.3f before, %.3f after", before, after)
+	assert.Greater(t, after, before-0.05)
+	sound(t, r)
+}
--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -75,6 +75,7 @@
 	waiting  []*Job
 	running  []*Job
 	copies   map[uint64]*boxCopy
+	loads    map[uint64]int // begun here, by model
 	draining bool
 	fallen   bool
 	frozen   time.Time // it stands still until then
@@ -91,7 +92,7 @@
 
 // NewBox makes a box that started at start, empty.
 func NewBox(cfg BoxConfig, start time.Time) *Box {
-	return &Box{cfg: cfg, start: start, copies: map[uint64]*boxCopy{}, slow: 1, busyAt: start}
+	return &Box{cfg: cfg, start: start, copies: map[uint64]*boxCopy{}, loads: map[uint64]int{}, slow: 1, busyAt: start}
 }
 
 // Capacity is the part of its full capacity that a box has now.
@@ -142,6 +143,7 @@
 		wait := j.Load * time.Duration(1+loading/max(1, b.cfg.Loads))
 		c = &boxCopy{ready: now.Add(wait), lanes: max(1, j.Lanes)}
 		b.copies[j.Model] = c
+		b.loads[j.Model]++
 		j.Note = Spawn
 	case c.ready.After(now):
 		j.Note = Pending
@@ -303,6 +305,13 @@
 	return 0
 }
 
+// Loads counts the loads of a model that began here; Holds whether a copy of it stands or loads.
+func (b *Box) Loads(model uint64) int { return b.loads[model] }
+func (b *Box) Holds(now time.Time, model uint64) bool {
+	b.expire(now)
+	return b.copies[model] != nil
+}
+
 // Unload drops a model's copy if it is idle.
 func (b *Box) Unload(model uint64) {
 	if c := b.copies[model]; c != nil && c.held == 0 {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -27,6 +27,8 @@
 	Turn    time.Duration // after so long another model stands at a rank, at other moments for each; 0: never
 	Retries int
 	Seed    uint64
+	// From NewAt on, four models in ten stand there in a new version, under a name of its own; zero: never.
+	NewAt time.Time
 }
 
 // Try is one request and its end.
@@ -84,6 +86,9 @@
 		IdleConnTimeout: 3 * time.Second, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
 }
 
+// Renew has new versions come at a moment, as Load.NewAt says. It must be called before Run.
+func (c *Clients) Renew(at time.Time) { c.load.NewAt = at }
+
 // Run sends until ctx ends, then waits for the last answers.
 func (c *Clients) Run(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(c.load.Seed, uint64(c.n)))
@@ -236,7 +241,19 @@
 	if l.Turn > 0 {
 		turn = (at.UnixNano() + int64(l.Turn)*int64(rank*7%16)/16) / int64(l.Turn)
 	}
-	return mix64(uint64(rank)<<40 ^ uint64(turn))
+	model := mix64(uint64(rank)<<40 ^ uint64(turn))
+	if l.Renewed(rank) && !l.NewAt.IsZero() && !at.Before(l.NewAt) {
+		return mix64(model)
+	}
+	return model
+}
+
+// Renewed tells whether a rank's model comes in a new version.
+func (l *Load) Renewed(rank int) bool { return mix64(uint64(rank))%10 < 4 }
+
+// Version is the model at a rank, and the one that stands there from NewAt on.
+func (l *Load) Version(rank int) (before, after uint64) {
+	return l.model(rank, l.NewAt.Add(-1)), l.model(rank, l.NewAt)
 }
 
 // mix64 is the finalizer of SplitMix64.
