--- a/core.go
+++ b/core.go
@@ -96,15 +96,15 @@
 }
 
 // flight is one attempt or order to load on its way. It owns whether anything of it was written: once begun it may only
-// be called off, where the settings allow that; until then it is barred when its caller leaves, its request is over, or
+// be called off, where the settings allow that; until then it is revoked when its caller leaves, its request is over, or
 // its worker drains, goes or starts anew. Guards against a write that crosses one of these: whoever comes first wins.
 type flight struct {
 	worker decide.WorkerID
 	caller context.Context
 	off    context.CancelCauseFunc
 
-	mu            sync.Mutex
-	begun, barred bool
+	mu             sync.Mutex
+	begun, revoked bool
 }
 
 // begin is asked right before the first byte is written; false: nothing may be written any more. Asked again, for another
@@ -112,18 +112,18 @@
 func (f *flight) begin() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.begun = !f.barred && f.caller.Err() == nil
+	f.begun = !f.revoked && f.caller.Err() == nil
 	return f.begun
 }
 
-// bar has a flight begin no more, and ends it where it has not begun.
-func (f *flight) bar() {
+// revoke has a flight begin no more, and ends it where it has not begun.
+func (f *flight) revoke() {
 	f.mu.Lock()
-	f.barred = true
+	f.revoked = true
 	begun := f.begun
 	f.mu.Unlock()
 	if !begun {
-		f.off(errBarred)
+		f.off(errRevoked)
 	}
 }
 
@@ -357,7 +357,7 @@
 
 var (
 	errCalledOff = errors.New("called off")
-	errBarred    = errors.New("barred before anything was written")
+	errRevoked   = errors.New("revoked before anything was written")
 )
 
 // send is one attempt, on a goroutine of its own. Its end comes back as an event, exactly once.
@@ -433,7 +433,7 @@
 	delete(c.open, k.req.ID)
 	for n := range k.tries {
 		if f := c.flights[flightKey{k.req.ID, n}]; f != nil {
-			f.bar()
+			f.revoke()
 		}
 	}
 	switch {
@@ -483,10 +483,10 @@
 		old, known := c.members[m.ID]
 		if known && (m.State == decide.Off || !old.Start.Equal(m.Start) || old.Addr != m.Addr) {
 			c.cfg.Workers.Forget(m.ID)
-			c.bar(m.ID)
+			c.revoke(m.ID)
 		}
 		if m.State != decide.On {
-			c.bar(m.ID)
+			c.revoke(m.ID)
 		}
 		if m.State == decide.Off {
 			delete(c.members, m.ID)
@@ -501,7 +501,7 @@
 			if !named[id] {
 				delete(c.members, id)
 				c.cfg.Workers.Forget(id)
-				c.bar(id)
+				c.revoke(id)
 			}
 		}
 		c.ready.Store(true)
@@ -509,11 +509,11 @@
 	c.d.Roster(c.now(), r.Kind, es)
 }
 
-// bar ends what is on its way to a worker that must get nothing new, as far as nothing of it was written.
-func (c *Core) bar(w decide.WorkerID) {
+// revoke ends what is on its way to a worker that must get nothing new, as far as nothing of it was written.
+func (c *Core) revoke(w decide.WorkerID) {
 	for _, f := range c.flights {
 		if f.worker == w {
-			f.bar()
+			f.revoke()
 		}
 	}
 }
--- a/core_test.go
+++ b/core_test.go
@@ -328,9 +328,9 @@
 	close(l.goOn)
 	assert.False(t, <-l.begun, "begun for a caller that has left")
 	goOn <- true
-	f := &flight{caller: t.Context(), off: func(error) { t.Error("what has begun was barred") }}
+	f := &flight{caller: t.Context(), off: func(error) { t.Error("what has begun was revoked") }}
 	require.True(t, f.begin())
-	f.bar()
+	f.revoke()
 	assert.False(t, f.begin(), "asked again, for another connection")
 	assert.Zero(t, core.Counters().Served)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,7 @@
 				fn(class, o.Completed.Load(), o.Rejected.Load(), o.Failed.Load())
 			})
 		},
-		Quiet:    func(on bool) { front.Quiet(on) },
+		Quiet:    func(on bool) { front.SetKeepAlives(!on) },
 		Verdicts: func(ctx context.Context) ([]console.Verdict, bool) { return verdicts(ctx, core) },
 	}, console.BanFile(os.TempDir(), cfg.Listen), platform.WorkerID, log)
 	var keeper *kept.Keeper
--- a/internal/platform/conns.go
+++ b/internal/platform/conns.go
@@ -130,11 +130,11 @@
 	framer framer
 	odd    atomic.Bool // a request on it had lengths that contradict each other; nothing after it can be trusted
 
-	ahead    bytes.Buffer  // bytes read behind the call in hand, for net/http to read after it
-	aheadErr error         // what ended that reading, told once the bytes are read
-	looking  chan struct{} // closed when a reading ahead has ended; nil: none began
-	whole    int           // requests that have come whole, and of these
-	answered int           // the answers written
+	ahead     bytes.Buffer  // bytes read behind the call in hand, for net/http to read after it
+	aheadErr  error         // what ended that reading, told once the bytes are read
+	aheadDone chan struct{} // closed when a reading ahead has ended; nil: none began
+	whole     int           // requests that have come whole, and of these
+	answered  int           // the answers written
 
 	mu       sync.Mutex
 	deadline time.Time // for reading, as set last
@@ -159,10 +159,10 @@
 
 // Read is called by one goroutine at a time: the server's, or its look ahead while a call is in hand.
 func (g *gate) Read(b []byte) (int, error) {
-	if g.looking != nil { // the call is over, or its look ahead called off: reading goes on here
+	if g.aheadDone != nil { // the call is over, or its look ahead called off: reading goes on here
 		_ = g.Conn.SetReadDeadline(time.Unix(1, 0))
-		<-g.looking
-		g.looking = nil
+		<-g.aheadDone
+		g.aheadDone = nil
 		g.mu.Lock()
 		err := g.Conn.SetReadDeadline(g.deadline)
 		g.mu.Unlock()
@@ -191,15 +191,15 @@
 	if n > 0 {
 		more := g.whole > g.answered+1 || g.whole > g.answered && !g.framer.between()
 		if left := g.guard.read(g, more); left != nil {
-			g.looking = make(chan struct{})
-			go g.look(g.looking, left)
+			g.aheadDone = make(chan struct{})
+			go g.readAhead(g.aheadDone, left)
 		}
 	}
 	return n, err
 }
 
-// look reads on while a call is in hand, as far as one more request may reach, to see its client leave.
-func (g *gate) look(ended chan<- struct{}, left context.CancelFunc) {
+// readAhead reads on while a call is in hand, as far as one more request may reach, to see its client leave.
+func (g *gate) readAhead(ended chan<- struct{}, left context.CancelFunc) {
 	defer close(ended)
 	b := make([]byte, 1<<10)
 	for g.ahead.Len() < mostAhead {
@@ -236,9 +236,19 @@
 	return err
 }
 
-// unread tells whether bytes lie with the kernel that nobody has read; where that cannot be told, no.
+// unread tells whether bytes lie with the kernel that nobody has read.
 func unread(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
+	return look(c, func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCINQ) })
+}
+
+// ready tells whether a listener has connections that nobody has taken.
+func ready(ln net.Listener) bool {
+	return look(ln, func(fd int) (int, error) { return unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
+}
+
+// look asks a socket's descriptor for a number and tells whether it is above 0; where it cannot be asked, no.
+func look(socket any, count func(fd int) (int, error)) bool {
+	sc, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -247,10 +257,10 @@
 		return false
 	}
 	n := 0
-	if rc.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) != nil || err != nil {
+	if rc.Control(func(fd uintptr) { n, err = count(int(fd)) }) != nil {
 		return false
 	}
-	return n > 0
+	return err == nil && n > 0
 }
 
 // guard is a listener that holds at most max connections, and the one that closes those on which nothing is under way: for
@@ -258,12 +268,12 @@
 // which would leave everyone else waiting, and against the close of a connection on which a request has begun to come.
 type guard struct {
 	net.Listener
-	max    int
-	mu     sync.Mutex
-	room   *sync.Cond
-	gates  map[*gate]struct{}
-	quiet  bool // connections are closed once nothing is under way on them
-	ending bool // what the kernel has accepted is taken, and nothing more
+	max       int
+	mu        sync.Mutex
+	room      *sync.Cond
+	gates     map[*gate]struct{}
+	closeIdle bool // connections are closed once nothing is under way on them
+	stopping  bool // what the kernel has accepted is taken, and nothing more
 }
 
 func newGuard(ln net.Listener, most int) *guard {
@@ -295,12 +305,12 @@
 	return g, nil
 }
 
-// end has Accept take what the kernel has accepted so far and then fail with errEnded. Guards against the reset of
+// stopAccepting has Accept take what the kernel has accepted so far and then fail with errEnded. Guards against the reset of
 // connections that lie in the backlog when a listener is closed.
-func (l *guard) end() error {
+func (l *guard) stopAccepting() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ending = true
+	l.stopping = true
 	if d, ok := l.Listener.(deadliner); ok {
 		return d.SetDeadline(time.Unix(1, 0))
 	}
@@ -313,7 +323,7 @@
 func (l *guard) failed(err error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.ending {
+	if !l.stopping {
 		return err
 	}
 	if d, ok := l.Listener.(deadliner); ok && ready(l.Listener) {
@@ -322,28 +332,11 @@
 	return errors.Join(errEnded, l.Listener.Close())
 }
 
-// ready tells whether a listener has connections that nobody has taken; where that cannot be told, no.
-func ready(ln net.Listener) bool {
-	sc, ok := ln.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	if rc.Control(func(fd uintptr) { n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) }) != nil {
-		return false
-	}
-	return err == nil && n > 0
-}
-
-// hush, on, closes the connections on which nothing is under way, now and as they fall idle.
-func (l *guard) hush(on bool) {
+// setKeepAlives, off, closes the connections on which nothing is under way, now and as they fall idle.
+func (l *guard) setKeepAlives(on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.quiet = on
+	l.closeIdle = !on
 	for g := range l.gates {
 		l.shutIdle(g)
 	}
@@ -351,7 +344,7 @@
 
 // shutIdle closes a connection that is to be quiet, unless a request has begun to come on it.
 func (l *guard) shutIdle(g *gate) {
-	if l.quiet && !g.busy && !g.came && !unread(g.Conn) {
+	if l.closeIdle && !g.busy && !g.came && !unread(g.Conn) {
 		l.shut(g)
 	}
 }
@@ -468,7 +461,7 @@
 	if s == http.StateIdle {
 		g.spoke, g.busy, g.left = true, false, nil
 		g.answered++
-		g.came = g.whole > g.answered || !g.framer.between() || g.looking != nil
+		g.came = g.whole > g.answered || !g.framer.between() || g.aheadDone != nil
 		g.more = g.whole > g.answered+1 || g.whole > g.answered && !g.framer.between()
 		l.shutIdle(g)
 		l.room.Broadcast()
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -44,7 +44,7 @@
 var (
 	errNoSocket = errors.New("no socket left")
 	errUnasked  = errors.New("bytes came that belong to no answer")
-	errBarred   = errors.New("the request must not be written any more")
+	errRevoked  = errors.New("the request must not be written any more")
 	errTooLong  = errors.New("the answer is too long")
 	errNoLength = errors.New("the answer's length is not told, or told twice")
 )
@@ -306,7 +306,7 @@
 		return errUnasked
 	}
 	if c.permit != nil && !c.permit() {
-		return errBarred
+		return errRevoked
 	}
 	c.waiting = true
 	return nil
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -42,18 +42,18 @@
 
 // Front serves the platform's clients. It implements http.Handler.
 type Front struct {
-	core     *oakthread.Core
-	classes  atomic.Pointer[map[string]int] // by name, the class number that new calls take
-	tenants  map[string]int
-	tells    bool
-	open     atomic.Int64 // calls in the handler
-	bad      atomic.Int64 // calls that could not be read
-	latest   atomic.Int64 // Unix milliseconds of the latest deadline taken
-	draining atomic.Bool
-	quiet    atomic.Bool // each connection ends with its answer
-	mux      *http.ServeMux
-	tally    sync.Map // class name → *Outcomes
-	held     atomic.Pointer[guard]
+	core         *oakthread.Core
+	classes      atomic.Pointer[map[string]int] // by name, the class number that new calls take
+	tenants      map[string]int
+	tells        bool
+	open         atomic.Int64 // calls in the handler
+	bad          atomic.Int64 // calls that could not be read
+	latest       atomic.Int64 // Unix milliseconds of the latest deadline taken
+	draining     atomic.Bool
+	noKeepAlives atomic.Bool // each connection ends with its answer
+	mux          *http.ServeMux
+	tally        sync.Map // class name → *Outcomes
+	held         atomic.Pointer[guard]
 
 	// Gate, where set before Serve, has the front say no to readiness while it returns false.
 	Gate func() bool
@@ -70,15 +70,15 @@
 // Pending is the number of calls taken and not yet answered.
 func (f *Front) Pending() int64 { return f.open.Load() }
 
-// Quiet, on, closes idle connections of clients and ends each other one after its answer; off, keeps them again.
+// SetKeepAlives, off, closes idle connections of clients and ends each other one after its answer; on, keeps them again.
 // It takes effect once Serve runs.
-func (f *Front) Quiet(on bool) {
+func (f *Front) SetKeepAlives(on bool) {
 	if f.draining.Load() {
 		return // the end sees to that
 	}
-	f.quiet.Store(on)
+	f.noKeepAlives.Store(!on)
 	if held := f.held.Load(); held != nil {
-		held.hush(on)
+		held.setKeepAlives(on)
 	}
 }
 
@@ -160,7 +160,7 @@
 
 // ping tells the platform's front that calls may come: not before a list is loaded, nor once we are to end.
 func (f *Front) ping(w http.ResponseWriter, r *http.Request) {
-	f.part(w, r)
+	f.closeAfter(w, r)
 	if !f.core.Ready() || f.draining.Load() || f.Gate != nil && !f.Gate() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -189,7 +189,7 @@
 		old = f.latest.Load()
 	}
 	a, err := f.core.Do(r.Context(), q)
-	f.part(w, r)
+	f.closeAfter(w, r)
 	f.relay(w, a, err)
 	f.count(r.Header.Get("X-Class"), reply.Status(a, err))
 }
@@ -278,10 +278,10 @@
 	reply.Write(w, a, err)
 }
 
-// part says that the connection ends with this answer, where connections are to be quiet and no further request has begun
+// closeAfter says that the connection ends with this answer, where connections are to be quiet and no further request has begun
 // to come on it.
-func (f *Front) part(w http.ResponseWriter, r *http.Request) {
-	if g := gateOf(r.Context()); f.quiet.Load() && (g == nil || !g.guard.behind(g)) {
+func (f *Front) closeAfter(w http.ResponseWriter, r *http.Request) {
+	if g := gateOf(r.Context()); f.noKeepAlives.Load() && (g == nil || !g.guard.behind(g)) {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -319,8 +319,8 @@
 	defer srv.Close()
 	// What the kernel has accepted is taken; then connections end as nothing is under way on them. http.Server.Shutdown
 	// would reset the backlog and close kept connections on which half a head has come.
-	f.quiet.Store(true)
-	if err := held.end(); err != nil {
+	f.noKeepAlives.Store(true)
+	if err := held.stopAccepting(); err != nil {
 		return fmt.Errorf("end the listener: %w", err)
 	}
 	select {
@@ -330,7 +330,7 @@
 		}
 	case <-end.Done():
 	}
-	held.hush(true)
+	held.setKeepAlives(false)
 	if !held.empty(end) && f.open.Load() > 0 {
 		return context.DeadlineExceeded
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -641,7 +641,7 @@
 		return resp.StatusCode
 	}
 	out.Store(true)
-	front.Quiet(true)
+	front.SetKeepAlives(false)
 	assert.Equal(t, 503, ping())
 	_ = idle.SetReadDeadline(time.Now().Add(5 * time.Second))
 	_, err = rd.ReadByte()
@@ -652,7 +652,7 @@
 	assert.True(t, resp.Close, "the connection ends after its answer")
 
 	out.Store(false)
-	front.Quiet(false)
+	front.SetKeepAlives(true)
 	assert.Equal(t, 200, ping())
 	counts := map[string]int64{}
 	front.Tally(func(class string, o *Outcomes) { counts[class] = o.Completed.Load() })
