--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -423,3 +423,24 @@
 	assert.Len(t, f.slots, 1)
 	assert.Len(t, f.lines[1].lanes, 1)
 }
+
+// Guards a client that leaves within its body: nothing is sent, and the place is free again.
+func TestClientLeavesWithinItsBody(t *testing.T) {
+	for way, leave := range map[string]func(*net.TCPConn) error{"close": leave["close"], "reset": leave["reset"], "half-close": leave["half-close"]} {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, nil, nil, newBox(t, nil))
+			c := s.dial()
+			call := text(first, "path-book", "a body")
+			s.write(c, call[:len(call)-3])
+			require.NoError(t, leave(c))
+			for s.front.Bad() == 0 {
+				runtime.Gosched()
+			}
+			assert.Equal(t, 200, s.ask(second, "path-book"))
+			assert.Equal(t, []string{second}, s.boxes[0].seen())
+			assert.Equal(t, int64(1), s.core.Counters().Taken)
+			s.over()
+		})
+	}
+}
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -199,3 +199,44 @@
 	}
 	require.NoError(t, <-s.done)
 }
+
+// Guards calls that wait at a planned end, one behind an order to load and one between two attempts: each gets its answer,
+// and the server ends only then.
+func TestWaitingCallsAreAnsweredAtTheEnd(t *testing.T) {
+	ordered, goOn := make(chan bool, 1), make(chan bool)
+	s := newStage(t, shortKeep, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			ordered <- true
+			<-goOn
+			w.Header().Set("X-N", "1")
+		}
+	}))
+	s.lapse()
+	c := s.send(first, "path-book")
+	<-ordered
+	s.end()
+	for !strings.Contains(<-s.lines, "ending: no new calls") {
+	}
+	select {
+	case err := <-s.done:
+		t.Fatal("ended with a call behind an order", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(goOn)
+	assert.Equal(t, 200, s.read(c))
+	require.NoError(t, <-s.done)
+
+	full := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-No-Effect", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	came := make(chan bool, 8)
+	s = newStage(t, nil, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) { full(w, r); came <- true }))
+	c = s.send(first, "path-book")
+	<-came
+	<-came // now it waits before the third
+	s.end()
+	assert.Equal(t, 503, s.read(c))
+	require.NoError(t, <-s.done)
+	assert.Len(t, s.boxes[0].seen(), 3)
+}
