Let a few requests wait for a connection to settle before another one is made

Cause: a second request for an executor whose connections had not settled got a lane of its own at once (Fleet.lane), and a lane is a handshake and a connection. Change: up to eight wait, 10 ms at the most. TestFewRequestsWaitForAConnectionToSettle asserts what the test of one did, of eight.

--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -374,7 +374,7 @@
 	f := NewFleet(setup(t), 10)
 	defer f.Close()
 	f.settle = time.Hour // the machine may be slow
-	f.line(member(ln.Addr().String())).waiting = true
+	f.line(member(ln.Addr().String())).waiting = mostWaiting
 	for i := range 5 {
 		a := attempt(member(ln.Addr().String()), "x")
 		a.Request.ID = fmt.Sprintf("%016x", i)
@@ -389,8 +389,8 @@
 	assert.Equal(t, 5, conns)
 }
 
-// Guards the wait for a connection to settle: one request waits, until its time is over, and another goes on at once.
-func TestOneRequestWaitsForAConnectionToSettle(t *testing.T) {
+// Guards the wait for a connection to settle: a few requests wait, until their time is over, and the next goes on at once.
+func TestFewRequestsWaitForAConnectionToSettle(t *testing.T) {
 	b := newBox(t, nil)
 	f := NewFleet(setup(t), 10)
 	defer f.Close()
@@ -398,16 +398,20 @@
 	require.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result)
 	f.settle = time.Hour
 	ctx, stop := context.WithCancel(t.Context())
-	waits := make(chan decide.Result, 1)
-	go func() { waits <- f.Send(ctx, attempt(m, "x")).Result }()
-	for waiting := false; !waiting; runtime.Gosched() {
+	waits := make(chan decide.Result, mostWaiting)
+	for range mostWaiting {
+		go func() { waits <- f.Send(ctx, attempt(m, "x")).Result }()
+	}
+	for waiting := 0; waiting < mostWaiting; runtime.Gosched() {
 		f.mu.Lock()
 		waiting = f.lines[m.ID].waiting
 		f.mu.Unlock()
 	}
 	assert.Equal(t, decide.OK, f.Send(t.Context(), attempt(m, "x")).Result)
 	stop()
-	assert.Equal(t, decide.Moot, <-waits)
+	for range mostWaiting {
+		assert.Equal(t, decide.Moot, <-waits)
+	}
 	assert.Len(t, b.seen(), 2)
 }
 
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -37,6 +37,7 @@
 	idleShare      = 0.6                    // of the time after which an executor closes an idle connection, we do
 	idleLeast      = 100 * time.Millisecond // a connection used later than this does not give way
 	settle         = 10 * time.Millisecond  // after an answer, before the next request: what belongs to none shows by then
+	mostWaiting    = 8                      // requests that wait for a connection to an executor to settle
 	mostTransports = 16                     // Transports for one executor
 	lineKeptFor    = time.Minute            // an executor's Transports that nothing uses
 )
@@ -78,8 +79,8 @@
 	member oakthread.Member
 	used   time.Time
 	lanes  []*lane
-	// waiting: a request waits for one of them to settle.
-	waiting bool
+	// waiting is how many requests wait for one of them to settle.
+	waiting int
 }
 
 // lane is a Transport and when an answer last ended on it. A Transport hands the connection used last to the next request;
@@ -133,8 +134,8 @@
 	return l
 }
 
-// lane is the first lane of an executor that has settled. Where none has, one request waits for that, and others meanwhile
-// get a lane of their own.
+// lane is the first lane of an executor that has settled. Where none has, a few requests wait for that, and others meanwhile
+// get a lane of their own: a wait of some milliseconds is cheaper than a handshake.
 func (f *Fleet) lane(ctx context.Context, m oakthread.Member) (*line, *lane) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,8 +150,8 @@
 		}
 	}
 	switch {
-	case oldest != nil && !l.waiting:
-		l.waiting = true
+	case oldest != nil && l.waiting < mostWaiting:
+		l.waiting++
 		t := time.NewTimer(f.settle - l.used.Sub(oldest.freed))
 		f.mu.Unlock()
 		select {
@@ -159,7 +160,7 @@
 		}
 		t.Stop()
 		f.mu.Lock()
-		l.waiting = false
+		l.waiting--
 		return l, oldest
 	case len(l.lanes) == mostTransports:
 		return l, oldest // its connection waits for the rest
