--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -147,10 +147,10 @@
 	x.Specifics.LingerIdle, x.Permissions.Cancel = int64(10*time.Millisecond), false
 }
 
-// Guards calls that wait behind an order to load: the order ends, and the call whose client left is not sent.
-func TestClientLeavesBehindAnOrder(t *testing.T) {
-	ordered, goOn := make(chan bool, 1), make(chan bool)
-	s := newStage(t, shortKeep, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) {
+// orderStage is one on which the next call waits for an order to load, which tells that it has come and waits to go on.
+func orderStage(t *testing.T) (s *stage, ordered, goOn chan bool) {
+	ordered, goOn = make(chan bool, 1), make(chan bool)
+	s = newStage(t, shortKeep, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPut {
 			ordered <- true
 			<-goOn
@@ -158,6 +158,12 @@
 		}
 	}))
 	s.lapse()
+	return s, ordered, goOn
+}
+
+// Guards calls that wait behind an order to load: the order ends, and the call whose client left is not sent.
+func TestClientLeavesBehindAnOrder(t *testing.T) {
+	s, ordered, goOn := orderStage(t)
 	c := s.send(first, "path-book")
 	<-ordered
 	require.NoError(t, c.Close())
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -203,15 +203,7 @@
 // Guards calls that wait at a planned end, one behind an order to load and one between two attempts: each gets its answer,
 // and the server ends only then.
 func TestWaitingCallsAreAnsweredAtTheEnd(t *testing.T) {
-	ordered, goOn := make(chan bool, 1), make(chan bool)
-	s := newStage(t, shortKeep, nil, newBox(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPut {
-			ordered <- true
-			<-goOn
-			w.Header().Set("X-N", "1")
-		}
-	}))
-	s.lapse()
+	s, ordered, goOn := orderStage(t)
 	c := s.send(first, "path-book")
 	<-ordered
 	s.end()
