--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -160,7 +160,7 @@
 	}
 	assert.Len(t, r.Window(nil, 1, -3, math.MaxInt), 2)
 	for i := range uint64(tokens) { // a key at the point of a token
-		assert.Equal(t, []string{"c"}, r.Window(nil, ^(7*tokens + i), 0, 1))
+		assert.Equal(t, []string{"c"}, r.Window(nil, ^(7*tokens+i), 0, 1))
 	}
 	out := r.Window([]string{"kept"}, 1, 0, 2)
 	assert.Equal(t, "kept", out[0])
