A choice costs the same in a long list: holders, the hash's window and a few drawn

Cause: for each call the list was walked whole, and several times: choose weighed and sorted all, queued counted over all (wait, and figures of each message), a message was gathered from all at every call to a new holder, the middle of others' calls was sorted anew at each answer with a report, mayResendAnywhere asked all.

Change: lists over 128 are looked at in part: the believed holders (16 at most), a window of 16 of the function's places on the consistent-hash ring, the same at all dispatchers, and 16 drawn, which stand for all where a middle is taken. Rounds go over what was touched lately (active) and over what has calls out (inUse), a message dearer than what is saved up is not gathered. Replaced on the way: nested switches, a walk per call in cold, doubled hashing and exponentials of 0. An executor first told of as stopped and then on was never used (listed, but not in the list): mended, with a test.

The purse became a type, so two tests name its field; nothing else in them changed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,7 +4,9 @@
 package decide
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"oakthread/commons"
 	"oakthread/verdict"
@@ -26,6 +28,8 @@
 	stressMax   = 8.0   // a store this much slower than told is as good as none
 	usualTime   = 0.25  // of an aim: the time of an answer before any is known, half of it the deviation
 	usualLoad   = 0.5   // of the shortest aim: the same for a load
+	window      = 16    // places on the ring that a choice in a long list looks at, and holders at most
+	drawn       = 16    // drawn beside them: of all these one is of the lightest tenth but once in 29
 	seenStep    = 0.5   // weight of a load report: it is late and noisy
 	faultWeight = 4.0   // how much heavier a worker counts whose every call fails
 	hedgeShare  = 0.1   // second attempts against slow but living workers, of all requests
@@ -69,8 +73,8 @@
 		return
 	}
 	d.busyAt = now
-	d.words = min(d.words+tellShare, purseMax)
-	d.pool = min(d.pool+tellShare, purseMax)
+	d.words.earn(tellShare)
+	d.pool.earn(tellShare)
 	d.calls++
 	d.hedges = min(d.hedges+hedgeShare+d.lost, 1/hedgeShare)
 	if d.set.LoadWindow > 0 {
@@ -99,24 +103,21 @@
 		return
 	}
 	w, trial := d.choose(now, r)
-	if w == nil {
-		if len(r.tries) > 0 && !d.mayResendAnywhere(now, r) || len(r.tries) == 0 && now >= r.holdEnd() {
-			d.finish(now, r) // where nothing was sent, early
-			return
-		}
-		d.wakeAt(r, now+max(d.minAim/beats/2, d.set.Quantum))
-		return
-	}
-	if trial || !d.hold(now, r, w) {
+	if w != nil && (trial || !d.hold(now, r, w)) {
 		d.send(now, r, w, trial)
+	} else if first := len(r.tries) == 0; w == nil && (first && now >= r.holdEnd() ||
+		!first && !d.mayResendAnywhere(now, r)) {
+		d.finish(now, r) // where nothing was sent, early
+	} else if w == nil {
+		d.wakeAt(r, now+max(d.minAim/beats/2, d.set.Quantum))
 	}
 }
 
 func (r *request) holdEnd() int64 { return r.arrived + int64(holdShare*float64(r.Deadline-r.arrived)) }
 
 // hold has a copy loaded by order and keeps the call here until it stands. Guards against bounded queues full
-// of calls that wait for a slow store. A copy that only a peer told of is asked for too: it may be loading.
-// A function that no worker served is never ordered: it may not exist. Harm: one way to the worker and back.
+// of calls that wait for a slow store. A copy that only a peer told of is asked for too: it may be loading. A
+// function that no worker served is never ordered: it may not exist. Harm: one way to the worker and back.
 func (d *Dispatcher) hold(now int64, r *request, w *worker) bool {
 	if !d.set.LoadsOnMiss || !r.fn.served || len(r.tries) > 0 || now >= r.holdEnd() {
 		return false
@@ -131,9 +132,8 @@
 		}
 		r.began = h.until <= now
 		h.ordered, h.orderedAt = true, now
-		if d.set.Peers && h.until <= now {
-			h.told = now
-			d.news = append(d.news, h)
+		if h.until <= now {
+			d.announce(now, h)
 			d.tell(now)
 		}
 	}
@@ -163,10 +163,7 @@
 
 // loadTook learns what a load takes and, by what it should take, how slow the store is.
 func (d *Dispatcher) loadTook(f *function, x float64) {
-	usual := d.loads.mean
-	if f.load > 0 {
-		usual = float64(f.load)
-	}
+	usual := cmp.Or(float64(max(0, f.load)), d.loads.mean)
 	d.stress += learnStore * (min(max(x/max(usual, 1), 1), stressMax) - d.stress)
 	d.loads.add(x, learn)
 }
@@ -183,9 +180,9 @@
 	h.inflight++
 	r.tries = append(r.tries, a)
 	w.open = append(w.open, a)
-	if !a.warm && h.inflight == 1 && d.set.Peers {
-		h.told = now
-		d.news = append(d.news, h)
+	d.use(now, w)
+	if !a.warm && h.inflight == 1 {
+		d.announce(now, h)
 		d.tell(now)
 	}
 	w.coldLeft--
@@ -267,6 +264,7 @@
 		return
 	}
 	d.report(now, w, o.Report)
+	d.use(now, w)
 	a := w.take(o.ID, o.Attempt)
 	if a == nil {
 		return
@@ -275,8 +273,7 @@
 	r, h := a.req, a.h
 	h.inflight--
 	d.learn(now, a, o)
-	switch o.Result {
-	case Full, ConnectFailed, Moot, Miss:
+	if o.Result == Full || o.Result == ConnectFailed || o.Result == Moot || o.Result == Miss {
 		// It never ran. Where a further attempt went out meanwhile, that one stays bound to this one's
 		// window.
 		a.ran = a.n < len(r.tries)-1
@@ -337,19 +334,10 @@
 		return false
 	}
 	for _, a := range r.tries {
-		if a.open && !d.set.SecondCopies {
-			return false
-		}
-		if !a.ran {
-			continue
-		}
-		switch r.class.Effect {
-		case Unsafe:
+		barred := r.class.Effect == Unsafe || r.class.Effect == Keyed &&
+			(now >= a.sent+r.class.Window-d.set.Quantum || !sameGroup(r.class.Scope, a, w))
+		if a.open && !d.set.SecondCopies || a.ran && barred {
 			return false
-		case Keyed:
-			if now >= a.sent+r.class.Window-d.set.Quantum || !sameGroup(r.class.Scope, a, w) {
-				return false
-			}
 		}
 	}
 	return true
@@ -371,8 +359,8 @@
 
 func (d *Dispatcher) mayResendAnywhere(now int64, r *request) bool {
 	for _, w := range d.list {
-		if d.mayResend(now, r, w) {
-			return true
+		if d.mayResend(now, r, w) || r.class.Effect != Keyed { // else it is the same for all
+			return d.mayResend(now, r, w)
 		}
 	}
 	return len(d.list) == 0
@@ -383,15 +371,16 @@
 
 func (d *Dispatcher) choose(now int64, r *request) (best *worker, trial bool) {
 	d.turn++
-	all, well, lost := 0, 0, 0
-	can := d.can[:0]
-	d.sorted = d.sorted[:0]
-	for _, w := range d.list {
-		if !d.eligible(now, w) || !d.mayResend(now, r, w) {
+	all, well, lost, homes := 0, 0, 0, 0
+	d.can, d.sorted = d.can[:0], d.sorted[:0]
+	looked, home, fair, places := d.candidates(now, r)
+	for i, w := range looked {
+		if w.looked == d.turn || !d.eligible(now, w) || !d.mayResend(now, r, w) {
 			continue
 		}
 		all++
-		if d.well(now, w) {
+		w.looked, w.well = d.turn, d.well(now, w)
+		if w.well {
 			well++
 		} else if d.trialDue(now, w, r) {
 			return w, true // an ejection has run out: one call that is safe to repeat ends or renews it
@@ -399,10 +388,13 @@
 			lost++
 		}
 		w.turn, w.now = d.turn, d.load(now, w)
-		d.sorted = append(d.sorted, w.now)
-		can = append(can, w)
+		if d.can = append(d.can, w); i < home {
+			homes = len(d.can)
+		}
+		if i < fair {
+			d.sorted = append(d.sorted, w.now)
+		}
 	}
-	d.can = can
 	if all == 0 {
 		return nil, false
 	}
@@ -410,8 +402,8 @@
 	// Ejection is capped: if half look sick, the judgement is distrusted and load alone decides. It is not
 	// ours alone of those that no dispatcher hears, nor of a zone that is cut off: either may be over half.
 	trust := 2*well > all-lost || 2*well == all-lost && well > 1
-	for _, w := range can {
-		if !d.well(now, w) && (trust || lost < all && d.nobodys(now, w)) {
+	for _, w := range d.can {
+		if !w.well && (trust || lost < all && d.nobodys(now, w)) {
 			w.turn--
 			continue
 		}
@@ -439,28 +431,29 @@
 		}
 		if h.until > now && h.sure && h.inflight < h.copies*r.fn.lanes {
 			free = append(free, w)
-		} else if h.until > now || h.inflight > 0 || h.ordered {
+		} else if h.expected(now) {
 			full = append(full, w)
 		}
 	}
+	if len(free) == 0 {
+		free = full
+	}
 	if len(free) > 0 {
 		return d.lightest(now, free, mid), false
 	}
-	if len(full) > 0 {
-		return d.lightest(now, full, mid), false
-	}
 	// No holder will do: the lightest. Workers about as light as it are alike, and among them a hash of
 	// function and worker decides, so that dispatchers load a function in one place. Each of many sees little
-	// of any worker's load, and somebody has likely loaded the function in its place: the more there are,
-	// the further alike reaches, up to ε. A function that needs more places has as many of them, ranked by a
-	// hash of each dispatcher's own.
+	// of any worker's load, and somebody has likely loaded the function in its place: the more there are, the
+	// further alike reaches, up to ε. A function that needs more places has as many of them, ranked by a hash
+	// of each dispatcher's own.
 	bar, top := (1+min(eps, alike*d.many()))*max(low, mid), 0.0
-	places := d.places(now, r) / float64(len(d.list))
-	for _, w := range can {
+	for i := 0; i < len(d.can) && (i < homes || best == nil); i++ {
+		w := d.can[i]
 		if w.turn == d.turn && w.now <= bar {
-			x := affinity(r.fn.id, w.Worker, w.Weight*d.grown(now, w))
-			if u := affinity(r.fn.id, w.Worker, 1); math.Exp(-1/u) > 1-places {
-				x += affinity(r.fn.id^FuncID(mix(uint64(d.set.Number+1))), w.Worker, 1e6)
+			u := uniform(r.fn.id, w.Worker)
+			x := affinity(u, w.Weight*d.grown(now, w))
+			if u > 1-places {
+				x += affinity(uniform(r.fn.id^FuncID(mix(uint64(d.set.Number+1))), w.Worker), 1e6)
 			}
 			if h := r.fn.at(w, false); h != nil && h.noOrder > now {
 				x /= 1e9 // it had no room just now
@@ -473,6 +466,28 @@
 	return best, false
 }
 
+// candidates are what a choice looks at: of a short list all; of a long one first a window of the ring, the
+// same at all dispatchers (a hot function has several, each dispatcher one of them), then some drawn, so far
+// they stand for all, and believed holders. Harm: the lightest, and trials due, are found only among these.
+func (d *Dispatcher) candidates(now int64, r *request) (ws []*worker, home, fair int, places float64) {
+	places = d.places(now, r)
+	if n := len(d.list); n <= d.set.Walk {
+		return d.list, n, n, places / float64(n)
+	}
+	windows, key := max(1, math.Ceil(places/window)), uint64(r.fn.id)
+	if own := mix(key^uint64(d.set.Number+1)) % uint64(windows); own > 0 {
+		key = mix(key + own)
+	}
+	ws = d.ring.Window(d.near[:0], mix(key), 0, window)
+	home, ws = len(ws), d.draw(ws)
+	fair, hs := len(ws), r.fn.holders
+	for i, from := 0, d.rng.IntN(len(hs)+1); i < min(len(hs), window); i++ {
+		ws = append(ws, hs[(from+i)%len(hs)].w)
+	}
+	d.near = ws
+	return ws, home, fair, places / (windows * window)
+}
+
 // lightest is the lightest holder. What is known of others grows old, and is known to all alike: if all took
 // the very lightest they would meet there, so the older it is, the more of about its load are drawn from.
 func (d *Dispatcher) lightest(now int64, ws []*worker, mid float64) (best *worker) {
@@ -520,9 +535,8 @@
 		h.copies = 1
 	}
 	h.until, h.sure = now+d.set.KeepAlive, true
-	if d.set.Peers && now-h.told > d.set.KeepAlive/2 {
-		h.told = now
-		d.news = append(d.news, h)
+	if now-h.told > d.set.KeepAlive/2 {
+		d.announce(now, h)
 	}
 }
 
@@ -553,7 +567,7 @@
 		}
 	}
 	// What was seen there fades to what is seen elsewhere: one not heard from lately counts at the middle.
-	return n + d.others + (w.others-d.others)*math.Exp(-float64(now-w.othersAt)/d.tau())
+	return n + d.others + fading(w.others-d.others, now-w.othersAt, d.tau())
 }
 
 // grown is the part of its capacity that a worker has: 1, or what the slowest told growth gives a cold one.
@@ -583,7 +597,7 @@
 	w.othersAt = now
 	// The middle, each worker once: by answers, the crowded ones would count most, and none would look heavy.
 	d.sorted = d.sorted[:0]
-	for _, x := range d.list {
+	for _, x := range d.some() {
 		if x.othersAt > 0 && float64(now-x.othersAt) < d.tau() {
 			d.sorted = append(d.sorted, x.others)
 		}
@@ -604,7 +618,6 @@
 	age := float64(now - a.sent)
 	if o.Result != OK && o.Result != Moot && o.Result != Cancelled {
 		// A failure must not make a worker look light: it stays in its load for a normal service time.
-		w.ghosts = append(w.ghosts[:0:0], w.ghosts...)
 		w.ghosts = append(w.ghosts, ghost{now + int64(st.mean), o.Result == Full})
 	}
 	// Lost, if the copy answered others meanwhile: one that was pushed out is loading.
@@ -627,13 +640,9 @@
 			miss, a.req.began = 1, false
 		}
 		d.misses += learnLoads * (miss - d.misses)
-		switch o.Warmth {
-		case BeganLoad, AwaitedLoad:
-			x := max(0, age-st.mean)
-			if o.Warmth == BeganLoad {
-				d.loadTook(h.fn, x)
-			}
-		default:
+		if o.Warmth == BeganLoad {
+			d.loadTook(h.fn, max(0, age-st.mean))
+		} else if o.Warmth != AwaitedLoad {
 			w.pace += learnPace * (min(max(age/max(st.mean, 1), 1), paceMax) - w.pace)
 			w.paceAt = now
 			st.add(age, learnTime)
@@ -647,12 +656,10 @@
 			h.until = 0
 		} else if o.Result == Miss {
 			h.until = 0
-		} else if o.Result == Error {
-			if h.fn.served { // else it may be a function that no worker knows
-				d.blame(now, w, verdict.Failure)
-			} else {
-				d.blame(now, w, verdict.Hint)
-			}
+		} else if o.Result == Error && h.fn.served {
+			d.blame(now, w, verdict.Failure)
+		} else if o.Result == Error { // it may be a function that no worker knows
+			d.blame(now, w, verdict.Hint)
 		}
 	case Timeout, Cancelled:
 		if a.due < now && w.lastAnswer < a.sent && (o.Result == Timeout || !a.req.done) {
@@ -731,10 +738,7 @@
 	}
 	long := max(d.set.Fall/coldSlots, d.set.Quantum)
 	if slot := (now + long*int64(d.set.Number)/int64(d.set.Siblings)) / long; slot != w.coldSlot {
-		warm := d.warm
-		if warm == 0 { // not counted yet: one worker's part must not be taken for all of them
-			warm = len(d.list)
-		}
+		warm := cmp.Or(d.warm, len(d.list)) // not counted yet: none is cold
 		rate := d.answers * d.fade(now) / d.tau() / float64(max(1, warm))
 		mean := coldMargin * d.set.OverloadFactor * d.grown(now, w) * rate * float64(long)
 		keep := math.Pow(coldKeep, float64(min(slot-w.coldSlot, 1+max(0, now-w.Start)/long)))
@@ -814,14 +818,8 @@
 
 // cold tells whether a call needs a load, by our beliefs.
 func (d *Dispatcher) cold(now int64, id FuncID) bool {
-	if f := d.funcs[funcTag(id)]; f != nil {
-		for _, h := range f.holders {
-			if h.until > now || h.inflight > 0 || h.ordered {
-				return false
-			}
-		}
-	}
-	return true
+	f := d.funcs[funcTag(id)]
+	return f == nil || !slices.ContainsFunc(f.holders, func(h *holder) bool { return h.expected(now) })
 }
 
 // value is a class's worth for its work.
@@ -845,8 +843,8 @@
 }
 
 func (d *Dispatcher) queued(now int64) (n float64) {
-	for _, w := range d.list {
-		if d.well(now, w) {
+	for _, w := range d.inUse(now) {
+		if w.listed && d.well(now, w) {
 			for _, a := range w.open {
 				// What is out for long is stuck, or its answer is lost: no sign of a queue.
 				if st := d.stats[a.req.Class]; a.warm && float64(now-a.sent) < st.mean+queueDevs*st.dev {
@@ -905,7 +903,7 @@
 func (d *Dispatcher) awake(now int64) {
 	if late := now - d.armed; d.armed > 0 && late > d.minAim/beats && d.stoodAt < now {
 		d.stoodAt = now
-		for _, w := range d.list {
+		for _, w := range d.inUse(now) {
 			for _, a := range w.open {
 				a.due += late
 			}
@@ -943,6 +941,10 @@
 	term := hubAims * d.minAim
 	hub := d.roll.Collector(now)
 	m := commons.Message{Hub: hub == d.set.Number, Calls: d.calls}
+	purse, to, receivers := &d.words, hub, 1
+	if m.Hub {
+		purse, to, receivers = &d.pool, -1, d.set.Siblings-1
+	}
 	d.shared.Own(d.figures(now))
 	d.view = d.shared.View(now, d.kept()+served)
 	in := now % term
@@ -950,24 +952,23 @@
 		d.many() > 1 && in < term/2 && !d.shared.Full(now)) {
 		return // the reports are not all in
 	}
+	if len(d.list) > d.set.Walk && purse.left < min(purse.last, purseMax) { // not worth gathering yet
+		return
+	}
 	d.gather(now, &m)
 	if len(m.Counts)+len(m.Pairs) == 0 {
 		return
 	}
-	purse, to, receivers := &d.words, hub, 1
-	if m.Hub {
-		purse, to, receivers = &d.pool, -1, d.set.Siblings-1
-	}
 	char := max(d.set.PeerPrice, tellFloor) * float64(receivers) / 256
 	if m.Hub && in > term*3/4 && d.view.Stale { // a whole one is too dear for all of them
-		m = m.Short(d.set.Siblings, int(*purse/char))
+		m = m.Short(d.set.Siblings, int(purse.left/char))
 	}
 	texts := m.Texts(d.set.Siblings)
 	cost := char * float64(commons.Chars(texts))
-	if cost > *purse {
+	if purse.last = cost; cost > purse.left {
 		return
 	}
-	*purse -= cost
+	purse.left -= cost
 	d.news, d.calls = d.news[:0], 0
 	for _, x := range texts {
 		d.host.Tell(to, x)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -606,10 +606,13 @@
 
 // TestRulesUnderRandomEvents checks the rules from outside over seeded random days, hostile ones too.
 func TestRulesUnderRandomEvents(t *testing.T) {
-	for seed := range uint64(60) {
-		rng := rand.New(rand.NewPCG(seed, 1))
+	for seed := range uint64(120) {
+		rng := rand.New(rand.NewPCG(seed%60, 1))
 		effect := Effect(seed % 3)
 		s := settings(effect, Scope(seed/3%4))
+		if seed >= 60 { // the same days where every list counts as long
+			s.Walk = walkNever
+		}
 		s.SecondCopies = seed%2 == 0
 		s.Peers = seed%5 == 0
 		f := newFake()
@@ -956,7 +959,7 @@
 	s.Peers = true
 	a, fa := start(t, s, 60)
 	hear(a, 0)
-	a.words, a.pool = 1, 1
+	a.words.left, a.pool.left = 1, 1
 	for i := range 60 {
 		a.Request(1001*ms, call(fmt.Sprint(i), 1001*ms, FuncID(i)))
 	}
@@ -1110,7 +1113,7 @@
 			t.Fatal("never the hub")
 		}
 		if len(f.told) == told {
-			t.Fatalf("told nothing, with %.1f earned", d.pool)
+			t.Fatalf("told nothing, with %.1f earned", d.pool.left)
 		}
 		m, ok := commons.Read(f.told[told], 300)
 		if !ok || m.Sum.Sums[0] < 299*7-1 || len(m.Counts) != 1 || m.Counts[0].Worker != 118 || !d.told(at, d.workers[118]) {
--- /dev/null
+++ b/decide/long_test.go
@@ -0,0 +1,331 @@
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"oakthread/commons"
+)
+
+// This file owns the tests of choices in lists too long to be walked: what they look at, that they leave out nobody whom a rule
+// needs, and that rounds over what was touched lately say what rounds over the whole list would. Bounds are counts, not times.
+
+const walkWhole, walkNever = math.MaxInt, -1 // of Settings.Walk
+
+// lookedAt are the workers that the last choice looked at.
+func lookedAt(d *Dispatcher) (ws []*worker) {
+	for _, w := range d.list {
+		if w.looked == d.turn {
+			ws = append(ws, w)
+		}
+	}
+	return ws
+}
+
+func TestChoiceLooksAtAsManyInAnyLongList(t *testing.T) {
+	for _, n := range []int{3, 120, 128, 129, 600, 1900, 9600} {
+		s := settings(Safe, ScopeAll)
+		s.Siblings, s.LoadsOnMiss = 300, false
+		d, f := start(t, s, n)
+		for i := range 200 {
+			now := int64(i) * 5 * ms
+			id := fmt.Sprint(i)
+			d.Request(now, call(id, now, FuncID(i%7)))
+			looked := lookedAt(d)
+			if n <= 128 {
+				assert.Len(t, looked, n)
+			} else {
+				assert.LessOrEqual(t, len(looked), window+drawn+window, "%d executors", n)
+			}
+			assert.Contains(t, looked, d.workers[f.last[id]])
+			d.Outcome(now+ms, ok(id, f.last[id]))
+		}
+	}
+}
+
+// The mechanism's first clause in a list of any length: the copy that is believed to stand is found.
+func TestLongListFindsTheHolder(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings = 300
+	d, f := start(t, s, 9600)
+	hear(d, 0)
+	for fn := range FuncID(50) {
+		w := d.workers[WorkerID(1+fn*191)]
+		h := d.function(0, call("", 0, fn)).at(w, true)
+		d.believe(0, h)
+	}
+	for fn := range FuncID(50) {
+		id := fmt.Sprint(fn)
+		d.Request(ms, call(id, ms, fn))
+		assert.Equal(t, WorkerID(1+fn*191), f.last[id])
+	}
+}
+
+// Dispatchers that know nothing of each other load a function in one place, as where the whole list is walked, also where each
+// lacks other executors of the list.
+func TestLongListStrangersLoadInOnePlace(t *testing.T) {
+	places := func(walk int) (n int) {
+		for fn := range FuncID(20) {
+			at := map[WorkerID]bool{}
+			for i := range 40 {
+				s := settings(Safe, ScopeAll)
+				s.Siblings, s.Number, s.Walk = 300, i, walk
+				d, f := start(t, s, 1900)
+				gone := WorkerID(1 + (i*997)%1900)
+				d.Roster(0, RosterDelta, []Entry{{Worker: gone, State: Off}})
+				hear(d, 0)
+				d.Request(ms, call("x", ms, 77+fn*1_000_003))
+				at[f.last["x"]] = true
+			}
+			n += len(at)
+		}
+		return n
+	}
+	whole, part := places(walkWhole), places(0)
+	assert.LessOrEqual(t, part, whole+4, "places of 20 functions over 40 dispatchers; %d where all is walked", whole)
+}
+
+// A hot function reaches as many executors as its calls need, together and not one after the other.
+func TestLongListHotFunctionSpreads(t *testing.T) {
+	at := map[WorkerID]int{}
+	for i := range 200 {
+		s := settings(Safe, ScopeAll)
+		s.Siblings, s.Number = 200, i
+		d, f := start(t, s, 1900)
+		hear(d, 0)
+		r := call("x", 3000*ms, 5)
+		fn := d.function(3000*ms, r)
+		fn.calls, fn.callsAt = 8, 3000*ms // one a second here, 200 in all: at 0.25 s and a copy's two lanes half taken, 50 places
+		d.Request(3000*ms, r)
+		at[f.last["x"]]++
+	}
+	assert.Greater(t, len(at), 25, "places of a function that needs some 50")
+	assert.Less(t, len(at), 120)
+}
+
+// Functions spread over the executors: no executor is the place of far more than its part, and few of none.
+func TestLongListPlacesAreEven(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings = 300
+	d, _ := start(t, s, 1900)
+	hear(d, 0)
+	at := map[WorkerID]int{}
+	const functions = 19_000
+	for fn := range FuncID(functions) {
+		r := &request{Request: call("x", ms, fn*7919), class: &d.set.Classes[0], fn: &function{id: fn * 7919, lanes: 2}}
+		w, _ := d.choose(ms, r)
+		at[w.Worker]++
+	}
+	most := 0
+	for _, n := range at {
+		most = max(most, n)
+	}
+	assert.Less(t, most, 30, "functions of one executor, ten on the mean")
+	assert.Greater(t, len(at), 1880, "executors that are the place of any")
+}
+
+// Busy executors are left to others: with three in ten crowded hardly a call goes to one of these.
+func TestLongListLeavesOutTheCrowded(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	d, _ := start(t, s, 1900)
+	hear(d, 0)
+	for i, w := range d.list {
+		if i%10 < 3 {
+			w.others, w.othersAt = 20, 0
+		}
+	}
+	crowded := 0
+	for fn := range FuncID(500) {
+		r := &request{Request: call("x", ms, fn), class: &d.set.Classes[0], fn: &function{id: fn, lanes: 2}}
+		if w, _ := d.choose(ms, r); w.others > 0 {
+			crowded++
+		}
+	}
+	assert.Less(t, crowded, 15, "of 500 choices; none where all is walked")
+}
+
+// An executor that is out gets its trial also in a long list, as soon as it is drawn.
+func TestLongListTriesWhatIsOut(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings, s.LoadsOnMiss = 1, false
+	d, f := start(t, s, 600)
+	hear(d, 0)
+	sick := d.workers[7]
+	d.cut(ms, 0, sick, ConnectFailed)
+	require.True(t, d.out(sick))
+	tried := false
+	for i := range 2000 {
+		now := 2000*ms + int64(i)*5*ms
+		id := fmt.Sprint(i)
+		d.Request(now, call(id, now, FuncID(i)))
+		tried = tried || f.last[id] == 7
+		d.Outcome(now+ms, ok(id, f.last[id]))
+		d.Timer(now+2*ms, f.ref)
+	}
+	assert.True(t, tried)
+	assert.False(t, d.out(sick), "back after trials that went well")
+}
+
+// Found by reading: an executor that was first told of as stopped was listed for good but never in the list, and got no call when
+// it came on.
+func TestStoppedExecutorComesOn(t *testing.T) {
+	d, f := start(t, settings(Safe, ScopeAll), 0)
+	d.Roster(0, RosterDelta, []Entry{{Worker: 5, State: Off, Weight: 1}})
+	d.Roster(ms, RosterDelta, []Entry{{Worker: 5, State: On, Weight: 1}})
+	d.Request(2*ms, call("x", 2*ms, 1))
+	assert.Equal(t, WorkerID(5), f.last["x"])
+}
+
+// A class with keys may be repeated in its own group alone: the one executor left there is found, however long the list.
+func TestLongListFindsAnywhereToResend(t *testing.T) {
+	for _, n := range []int{3, 200} {
+		d, _ := start(t, settings(Keyed, ScopeZone), n)
+		r := &request{Request: call("x", 0, 1), class: &d.set.Classes[0]}
+		r.tries = []*attempt{{req: r, w: d.list[0], zone: 9, ran: true}}
+		assert.False(t, d.mayResendAnywhere(ms, r))
+		d.list[n-1].Zone = 9
+		assert.True(t, d.mayResendAnywhere(ms, r))
+		d.set.Classes[0].Effect = Unsafe
+		assert.False(t, d.mayResendAnywhere(ms, r))
+	}
+}
+
+// What is gathered from a part of the list is what the whole would give, over any events: calls, ends of all kinds, lists whole
+// and in parts, restarts, drains, reports and digests of others, and silence.
+func TestRoundsOverAPartMissNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 17, 64, 129, 400, 1900}).Draw(t, "executors")
+		s := settings(Effect(rapid.IntRange(0, 2).Draw(t, "effect")), ScopeAll)
+		s.Siblings, s.Number, s.Peers, s.Walk = 20, 1, true, walkNever
+		s.QueueField = 1
+		s.LoadsOnMiss = rapid.Bool().Draw(t, "orders")
+		f := newFake()
+		const began = 100_000 * ms
+		d, err := New(began, s, 7, f)
+		require.NoError(t, err)
+		d.Roster(began, RosterFull, roster(n))
+		type flight struct {
+			id string
+			n  int
+			w  WorkerID
+		}
+		var out []flight
+		tries, now, seq := map[string]int{}, began, 0
+		take := func() {
+			for _, x := range f.sends {
+				w := d.workers[x.w]
+				require.True(t, w != nil && w.listed && w.State == On, "sent to %d", x.w)
+				out = append(out, flight{x.id, tries[x.id], x.w})
+				tries[x.id]++
+			}
+			f.sends, f.told, f.toldTo = nil, nil, nil
+		}
+		few := func(label string) WorkerID { // of some, so that events meet; of large fleets others too
+			return WorkerID(1 + rapid.IntRange(0, min(n, 40)-1).Draw(t, label)*max(1, n/40))
+		}
+		for range rapid.IntRange(20, 60).Draw(t, "events") {
+			now += rapid.SampledFrom([]int64{ms, 20 * ms, 130 * ms, 900 * ms, 4100 * ms}).Draw(t, "later")
+			d.Timer(now, f.ref)
+			take()
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2:
+				seq++
+				d.Request(now, call(fmt.Sprint(seq), now, FuncID(rapid.IntRange(0, 30).Draw(t, "function"))))
+			case 3, 4, 5:
+				if len(out) > 0 {
+					i := rapid.IntRange(0, len(out)-1).Draw(t, "flight")
+					o := out[i]
+					out = slices.Delete(out, i, i+1)
+					res := Result(rapid.IntRange(0, int(Results)-1).Draw(t, "end"))
+					d.Outcome(now, Outcome{ID: o.id, Attempt: o.n, Worker: o.w, Result: res, Finished: res == OK, Warmth: WarmHit, Report: []float64{2}})
+				}
+			case 6:
+				e := Entry{Worker: few("worker"), State: State(rapid.IntRange(0, 2).Draw(t, "state")), Weight: 1}
+				if rapid.Bool().Draw(t, "restarts") {
+					e.Start = now
+				}
+				d.Roster(now, RosterDelta, []Entry{e})
+			case 7:
+				d.Roster(now, RosterFull, roster(rapid.SampledFrom([]int{n, n / 2, 1}).Draw(t, "whole")))
+			case 8:
+				m := commons.Message{Row: commons.Row{Incarnation: 1, Seq: uint8(seq + 1), Figures: []float64{1, 1}}, Calls: 9}
+				seq++
+				for range rapid.IntRange(0, 3).Draw(t, "counts") {
+					m.Counts = append(m.Counts, commons.Count{Worker: tag(few("counted")), N: 2, Silent: rapid.Bool().Draw(t, "silent"), Heard: true})
+				}
+				m.Marks = []commons.Mark{{Worker: tag(few("marked")), Bad: 3}}
+				d.Peer(now, rapid.IntRange(2, 6).Draw(t, "from"), m.Texts(20)[0])
+			case 9:
+				d.Peer(now, 3, digest(d, now, []float64{5, 1}, commons.Count{Worker: tag(few("told")), N: 1, Silent: true}))
+			}
+			take()
+			sameRounds(t, d, now)
+		}
+	})
+}
+
+// sameRounds compares what a dispatcher finds by what was touched with what it finds in the whole list.
+func sameRounds(t require.TestingT, d *Dispatcher, now int64) {
+	require.Equal(t, len(d.list), d.ring.Len())
+	n := 0.0 // the definition of queued, over the whole list
+	for _, w := range d.list {
+		require.True(t, w.listed && w.State != Off)
+		if !d.well(now, w) {
+			continue
+		}
+		for _, a := range w.open {
+			if st := d.stats[a.req.Class]; a.warm && float64(now-a.sent) < st.mean+queueDevs*st.dev {
+				n++
+			}
+		}
+		for _, g := range w.ghosts {
+			if g.until > now && g.full {
+				n++
+			}
+		}
+	}
+	require.Equal(t, n, d.queued(now))
+	for _, hub := range []bool{false, true} {
+		said := func(walk int) (m commons.Message) {
+			d.set.Walk, m.Hub = walk, hub
+			d.gather(now, &m)
+			slices.SortFunc(m.Counts, func(a, b commons.Count) int { return cmp.Compare(a.Worker, b.Worker) })
+			slices.SortFunc(m.Marks, func(a, b commons.Mark) int { return cmp.Compare(a.Worker, b.Worker) })
+			m.Pairs = nil
+			return m
+		}
+		part, whole := said(walkNever), said(walkWhole)
+		d.set.Walk = walkNever
+		require.Equal(t, whole.Counts, part.Counts, "hub %v", hub)
+		require.Equal(t, whole.Marks, part.Marks, "hub %v", hub)
+	}
+}
+
+// What is not gathered because the last message was dearer than what is saved up is gathered later.
+func TestPurseWaitsNoLongerThanItMust(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings, s.Peers, s.PeerPrice, s.Walk, s.LoadsOnMiss = 6, true, 0.5, walkNever, false
+	d, f := start(t, s, 200)
+	rng := rand.New(rand.NewPCG(1, 1))
+	told := 0
+	for i := range 4000 {
+		now := int64(i) * 5 * ms
+		id := fmt.Sprint(i)
+		d.Request(now, call(id, now, FuncID(rng.IntN(100))))
+		d.Outcome(now+ms, ok(id, f.last[id]))
+		d.Timer(now+2*ms, f.ref)
+		told += len(f.told)
+		f.told, f.toldTo, f.sends = nil, nil, nil
+		assert.GreaterOrEqual(t, d.words.left, 0.0)
+		assert.GreaterOrEqual(t, d.pool.left, 0.0)
+	}
+	assert.Greater(t, told, 20, "messages in 20 s: what a purse saves up is spent")
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -8,13 +9,15 @@
 	"slices"
 
 	"oakthread/commons"
+	"oakthread/ring"
 	"oakthread/turns"
 	"oakthread/verdict"
 )
 
 const (
-	heardAims  = 2  // shortest aims for which a worker that answered counts as heard, where one asks whether the fault is its own
-	forgetTaus = 20 // tau: the time constant with which a dispatcher that is not heard is forgotten
+	walked     = 128 // executors up to which a list is looked through whole for a choice
+	heardAims  = 2   // shortest aims for which a worker that answered counts as heard, where one asks whether the fault is its own
+	forgetTaus = 20  // tau: the time constant with which a dispatcher that is not heard is forgotten
 )
 
 // State of the Dispatcher, its events' bookkeeping and plain helpers. Nothing here decides.
@@ -55,13 +58,17 @@
 	ordered        []int64
 	watching       bool
 	askAt          int64
-	greeted        int     // dispatchers asked for their beliefs
-	words, pool    float64 // earned by calls for reports and, at the hub, for digests
-	calls          int     // calls taken since the last report
+	greeted        int   // dispatchers asked for their beliefs
+	words, pool    purse // earned by calls for reports and, at the hub, for digests
+	calls          int   // calls taken since the last report
 	news           []*holder
 	others         float64   // requests of other dispatchers seen at a worker, on the mean
-	can            []*worker // of the choice at hand, those that can take the call
+	near           []*worker // those that the choice at hand looks at, in a long list
+	can            []*worker // of these, those that can take the call
 	turn           int       // number of that choice
+	ring           ring.Ring[*worker]
+	used           []*worker // with calls of ours out, or that failed just now
+	touched        []*worker // what active looks at, in a long list
 	warm           int       // listed workers that are not cold
 	sweptAt        int64
 	stoodAt        int64          // when we last found that we had stood still
@@ -126,12 +133,21 @@
 	silentAt   int64   // a digest told that it answers nobody
 	now        float64 // load in the choice of this number
 	turn       int
+	looked     int // the last choice that looked at it, and whether it was well then
+	well       bool
+	used       bool    // it is in Dispatcher.used
+	touchedAt  int64   // when a call, an answer or a message last concerned it; 0: not in touched
 	others     float64 // requests of other dispatchers, by reports
 	othersAt   int64
 	peers      []peerCount
 	marks      []peerMark // what others told of it to us as the hub
 }
 
+// purse is what may be spent on messages, and what the last one cost, sent or not; as prices, parts of a call's worth.
+type purse struct{ left, last float64 }
+
+func (p *purse) earn(x float64) { p.left = min(p.left+x, purseMax) }
+
 type ghost struct {
 	until int64
 	full  bool
@@ -273,6 +289,83 @@
 	return h != nil && h.until > now && h.sure
 }
 
+// expected tells whether a copy is believed to stand there, or about to.
+func (h *holder) expected(now int64) bool { return h.until > now || h.inflight > 0 || h.ordered }
+
+// announce has the others told of a new holder.
+func (d *Dispatcher) announce(now int64, h *holder) {
+	if d.set.Peers {
+		h.told = now
+		d.news = append(d.news, h)
+	}
+}
+
+// touch takes that a call, an answer or a message concerns w, where it is listed.
+func (d *Dispatcher) touch(now int64, w *worker) {
+	if !w.listed {
+		return
+	}
+	if w.touchedAt == 0 {
+		d.touched = append(d.touched, w)
+	}
+	w.touchedAt = max(now, 1)
+}
+
+// use takes that a call of ours is out at w, or has just ended there.
+func (d *Dispatcher) use(now int64, w *worker) {
+	d.touch(now, w)
+	if !w.used {
+		w.used, d.used = true, append(d.used, w)
+	}
+}
+
+// inUse lists the workers, listed or not, with calls of ours out or failed calls that count as out.
+func (d *Dispatcher) inUse(now int64) []*worker {
+	d.used = slices.DeleteFunc(d.used, func(w *worker) bool {
+		w.used = len(w.open) > 0 || slices.ContainsFunc(w.ghosts, func(g ghost) bool { return g.until > now })
+		return !w.used
+	})
+	return d.used
+}
+
+// active lists the workers of which there may be something to tell: of a short list all; of a long one those touched lately
+// or out, so that a round costs what was done and not what is listed.
+func (d *Dispatcher) active() []*worker {
+	if len(d.list) <= d.set.Walk {
+		return d.list
+	}
+	return d.touched
+}
+
+// settle leaves out of touched what is not listed, and what there has been nothing to tell of for some time.
+func (d *Dispatcher) settle(now int64) {
+	d.touched = slices.DeleteFunc(d.touched, func(w *worker) bool {
+		_, says := d.judge.Mark(now, &w.health, d.slow(now, w))
+		if w.listed && (now-w.touchedAt < heardAims*d.minAim || len(w.open) > 0 || d.out(w) || says) {
+			return false
+		}
+		w.touchedAt = 0
+		return true
+	})
+}
+
+// draw appends workers drawn from the list, some perhaps twice.
+func (d *Dispatcher) draw(ws []*worker) []*worker {
+	for range min(drawn, len(d.list)) {
+		ws = append(ws, d.list[d.rng.IntN(len(d.list))])
+	}
+	return ws
+}
+
+// some are workers that stand for all: of a short list all, of a long one some drawn; good until the next choice.
+func (d *Dispatcher) some() []*worker {
+	if len(d.list) <= d.set.Walk {
+		return d.list
+	}
+	d.near = d.draw(d.near[:0])
+	return d.near
+}
+
 func since(ts []int64, from int64) []int64 {
 	for len(ts) > 0 && ts[0] < from {
 		ts = ts[1:]
@@ -293,11 +386,21 @@
 	return &w.peers[len(w.peers)-1]
 }
 
-// affinity ranks workers for a function, the same at every dispatcher: the larger a worker, the more functions
-// rank it first (weighted rendezvous hashing).
-func affinity(f FuncID, w WorkerID, weight float64) float64 {
-	u := (float64(mix(uint64(f)^uint64(w)*0x9e3779b97f4a7c15)>>11) + 0.5) / (1 << 53)
-	return max(weight, 1e-9) / -math.Log(u)
+// uniform is the rank of a worker for a function, between 0 and 1, the same at every dispatcher.
+func uniform(f FuncID, w WorkerID) float64 {
+	return (float64(mix(uint64(f)^uint64(w)*0x9e3779b97f4a7c15)>>11) + 0.5) / (1 << 53)
+}
+
+// affinity makes of such a rank one in which the larger a worker is, the more functions rank it first (weighted rendezvous
+// hashing).
+func affinity(u, weight float64) float64 { return max(weight, 1e-9) / -math.Log(u) }
+
+// fading is what is left of x after some time, with a time constant of tau. Most are 0, and the exponential is dear.
+func fading(x float64, age int64, tau float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	return x * math.Exp(-float64(age)/tau)
 }
 
 // mix is the finalizer of SplitMix64.
@@ -358,6 +461,7 @@
 	d.awake(d.now)
 	if d.beatAt == 0 {
 		d.beatAt = d.now + d.minAim/beats
+		d.settle(d.now)
 		d.push(d.beatAt, nil)
 	}
 }
@@ -393,8 +497,8 @@
 	// Not all news is told where messages are dear or there are no peers.
 	d.news = slices.DeleteFunc(d.news, func(h *holder) bool { return h.until <= now && h.inflight == 0 && !h.ordered })
 	d.warm = 0
-	for id, w := range d.workers {
-		if w.listed && !d.isCold(now, w) {
+	for _, w := range d.list {
+		if !d.isCold(now, w) {
 			d.warm++
 		}
 		w.peers = slices.DeleteFunc(w.peers, func(p peerCount) bool { return now-p.at > 2*d.minAim })
@@ -406,6 +510,11 @@
 			}
 		}
 		w.ghosts = keep
+	}
+	for id, w := range d.workers {
+		if len(d.workers) == len(d.list) {
+			break
+		}
 		if !w.listed && len(w.open) == 0 {
 			delete(d.workers, id)
 			if d.tags[tag(id)] == w {
@@ -514,8 +623,8 @@
 		if !d.shared.Heard(now, from, m.Row) {
 			return true // doubled, late, or of before its restart
 		}
-		d.pool = min(d.pool+tellShare*float64(m.Calls), purseMax)
-		for _, w := range d.list {
+		d.pool.earn(tellShare * float64(m.Calls))
+		for _, w := range d.active() {
 			for i := range w.peers {
 				if w.peers[i].from == from {
 					w.peers[i].at = 0
@@ -526,11 +635,13 @@
 	}
 	for _, x := range m.Marks {
 		if w := d.tags[x.Worker]; w != nil {
+			d.touch(now, w)
 			w.marks = append(w.marks, peerMark{from, now, verdict.Mark{Good: x.Good, Bad: x.Bad, Pace: x.Pace}})
 		}
 	}
 	for _, c := range m.Counts {
 		if w := d.tags[c.Worker]; w != nil {
+			d.touch(now, w)
 			*w.peer(from) = peerCount{from, c.N, now, c.Silent, c.Heard}
 		}
 	}
@@ -608,6 +719,7 @@
 			continue
 		}
 		word := verdict.Word(verdict.Mark{Good: m.Good, Bad: m.Bad, Pace: m.Pace})
+		d.touch(now, w)
 		told, of = append(told, verdict.Told{Box: &w.health, Weight: max(w.Weight, 0.1), Word: word}), append(of, w)
 		if word.Pace > 0 {
 			w.told, w.toldAt = min(word.Slow(), paceMax), now
@@ -640,15 +752,10 @@
 		w.coldSlot = 0
 		w.health.Restarted()
 	}
-	fresh := !w.listed
-	w.Entry, w.listed = e, true
-	if fresh && e.State != Off {
-		for _, x := range d.list {
-			if x == w {
-				return
-			}
-		}
+	w.Entry, w.listed = e, e.State != Off
+	if w.listed && d.ring.Add(uint32(w.Worker), w) {
 		d.list = append(d.list, w)
+		d.touch(d.now, w)
 	}
 }
 
@@ -669,6 +776,7 @@
 	if w == nil || f == nil {
 		return
 	}
+	d.touch(now, w)
 	if res == OK || res == Full || res == Error {
 		d.answered(now, w)
 	}
@@ -740,14 +848,16 @@
 	}
 	keep := d.list[:0]
 	for _, w := range d.list {
-		if w.listed && w.State != Off {
+		if w.listed {
 			keep = append(keep, w)
 		} else {
 			w.listed = false
+			d.ring.Remove(uint32(w.Worker))
 			d.unbelieve(w)
 		}
 	}
 	d.list = keep
+	d.settle(now)
 	d.ask(now)
 	for _, r := range d.heap {
 		if r.r != nil && len(r.r.tries) == 0 && !r.r.done {
@@ -775,6 +885,7 @@
 	}
 	d.set.Siblings = max(1, s.Siblings)
 	d.set.MaxAttempts = max(1, s.MaxAttempts)
+	d.set.Walk = cmp.Or(s.Walk, walked)
 	d.set.Quantum = max(s.Quantum, 1_000_000)
 	d.set.OverloadFactor = max(s.OverloadFactor, 0)
 	for range s.TenantRate {
@@ -795,8 +906,8 @@
 	} else {
 		m.Row = d.shared.Report()
 	}
-	heard, silent := 0, 0
-	for _, w := range d.list {
+	heard, silent, all := 0, 0, d.active()
+	for _, w := range all {
 		if d.out(w) || d.quiet(now, w) {
 			silent++
 		} else if now-w.lastAnswer < heardAims*d.minAim {
@@ -804,7 +915,7 @@
 		}
 	}
 	sure := !verdict.Doubts(heard, silent)
-	for _, w := range d.list {
+	for _, w := range all {
 		c := commons.Count{Worker: tag(w.Worker), N: len(w.open), Silent: sure && (d.out(w) || d.quiet(now, w)),
 			Heard: now-w.lastAnswer < d.minAim} // a worker is found silent over about as long
 		if d.quiet(now, w) { // what is stuck on its way is no load there
@@ -832,13 +943,13 @@
 
 // drag is how much heavier w counts for its pace, by our own calls or by what others tell of theirs, whichever is more.
 func (d *Dispatcher) drag(now int64, w *worker) float64 {
-	own := (w.pace*w.pace - 1) * math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
-	return max(own, (w.told*w.told-1)*math.Exp(-float64(now-w.toldAt)/d.tau()))
+	own := fading(w.pace*w.pace-1, now-w.paceAt, float64(d.keep()))
+	return max(own, fading(max(0, w.told*w.told-1), now-w.toldAt, d.tau()))
 }
 
 // slow is how many times longer calls at w's loaded copies take than at all, fading to 1.
 func (d *Dispatcher) slow(now int64, w *worker) float64 {
-	return 1 + (w.pace-1)*math.Exp(-float64(now-w.paceAt)/float64(d.keep()))
+	return 1 + fading(w.pace-1, now-w.paceAt, float64(d.keep()))
 }
 
 // pooled adds to what we have at w what others reported, and makes a word of all marks, each observer one.
--- a/verdict/words.go
+++ b/verdict/words.go
@@ -67,6 +67,9 @@
 // stands, that it has served us since. false: nothing.
 func (j *Judge) Mark(now int64, b *Box, pace float64) (m Mark, ok bool) {
 	odd := b.seen.odd > b.seen.at && now-b.seen.odd < wordAims*j.aim
+	if late := now-b.seen.failed >= wordAims*j.aim || b.seen.run == 0; late && !odd && pace < slowPace && !j.Bound(now, b) {
+		return m, false
+	}
 	if !odd && now-b.seen.at < wordAims*j.aim && (!j.Bound(now, b) || b.seen.at >= b.since) {
 		m.Good = uint8(min(math.Round(b.seen.lately(now, j.forget())), markMost))
 	}
