Force a cut on four real processes whose list is too long to be walked

Need: the choice in a long list was shown in one process alone.

Change: TestLongListThroughACut, four processes and 160 boxes with no word between them; a zone is cut off from two of them for 2 s. Boxes keep which model a call was for.

--- a/cmd/oakthread/fleet_test.go
+++ b/cmd/oakthread/fleet_test.go
@@ -279,3 +279,40 @@
 	assert.Zero(t, m.Check(restarted).Sum(), "%+v", m.Check(restarted))
 	assert.NoError(t, m.Stop())
 }
+
+// A list too long to be walked for a choice, in four real processes: models have their copies in few places, though no process
+// looks at more than a part of the list and no word about holders passes between them, and a zone that is cut off from half of the
+// processes and heals costs neither a rule nor the service of the others.
+func TestLongListThroughACut(t *testing.T) {
+	const models, boxes = 40, 160
+	r := fleet(t, lab.RigSize{Dispatchers: 4, Boxes: boxes, Zones: 4, Seed: 6, Load: lab.Load{Rate: 50, Models: models, Retries: 1}})
+	r.Words.Set(lab.Lost, func(_, _ int) bool { return true })
+	r.Send(t.Context(), nil)
+	from := span(t, 3*time.Second)
+	cutAt := span(t, 2*time.Second)
+	cross := func(n, box int) bool { return n < 2 && box%4 == 0 }
+	require.NoError(t, r.Ways.Between(lab.Cut, 0, cross))
+	span(t, 2*time.Second)
+	require.NoError(t, r.Ways.Between(lab.Open, 0, cross))
+	healed := time.Now()
+	after := span(t, 1500*time.Millisecond)
+	end := span(t, 2*time.Second)
+	r.Quiet()
+	uncut := func(n int) bool { return n >= 2 }
+	calm, meanwhile, again := lab.Served(r.Calls(nil), from, cutAt, nil), lab.Served(r.Calls(uncut), cutAt, healed, nil), lab.Served(r.Calls(nil), after, end, nil)
+	places, used := map[[2]uint64]bool{}, map[int]bool{}
+	for i, b := range r.Boxes {
+		calls, _ := b.Seen()
+		for _, s := range calls {
+			if s.Took && !s.At.Before(from) && s.At.Before(cutAt) {
+				places[[2]uint64{s.Model, uint64(i)}], used[i] = true, true
+			}
+		}
+	}
+	t.Logf("served %.3f before, %.3f at those not cut off meanwhile, %.3f after; %d models in %d places at %d of %d boxes", calm, meanwhile, again, models, len(places), len(used), boxes)
+	assert.Greater(t, calm, 0.95)
+	assert.Greater(t, meanwhile, 0.9)
+	assert.Greater(t, again, 0.95*calm)
+	assert.Less(t, len(places), 2*models, "places of models: a window of each dispatcher's own gives four")
+	sound(t, r)
+}
--- a/internal/lab/boxserver.go
+++ b/internal/lab/boxserver.go
@@ -23,9 +23,10 @@
 	At       time.Time
 	ID       string
 	Class    int
-	Took     bool // it was taken: it runs
-	Draining bool // the box was draining when it came
-	Failed   bool // it ran, and its answer was an error
+	Model    uint64 // called; 0 for a call that failed at once
+	Took     bool   // it was taken: it runs
+	Draining bool   // the box was draining when it came
+	Failed   bool   // it ran, and its answer was an error
 }
 
 // Figures are the sizes of the emulated world that boxes and clients share.
@@ -222,7 +223,7 @@
 	if j.Order {
 		s.orders = append(s.orders, now)
 	} else {
-		s.seen = append(s.seen, Sight{At: now, ID: j.ID, Class: j.Class, Took: v == Taken, Draining: s.box.Draining()})
+		s.seen = append(s.seen, Sight{At: now, ID: j.ID, Class: j.Class, Model: j.Model, Took: v == Taken, Draining: s.box.Draining()})
 	}
 	s.mu.Unlock()
 	if v != Taken {
