--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,452 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/printer"
+	"go/token"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread/commons"
+)
+
+// line is a straight line as a Curve.
+type line struct{ a, b float64 }
+
+func (l line) At(x float64) float64 { return l.a + l.b*x }
+
+func slope(a, b, base float64) Slope {
+	return Slope{Curve: line{a, b}, Base: base, Spread: 0.1, Command: "oaklab run capacity"}
+}
+
+// all is a slope for every name that a row asks for.
+func all() Slopes {
+	s := Slopes{}
+	for {
+		n := len(s)
+		for _, r := range Rows(Letter(), LetterBudgets(), s) {
+			for _, name := range append(r.Missing, r.Slopes...) {
+				s[name] = slope(10, 0.5, 100)
+			}
+		}
+		if len(s) == n {
+			return s
+		}
+	}
+}
+
+func find(t *testing.T, rows []Row, role, what string) Row {
+	t.Helper()
+	for _, r := range rows {
+		if r.Role == role && r.What == what {
+			return r
+		}
+	}
+	require.Fail(t, "no such row", "%s: %s", role, what)
+	return Row{}
+}
+
+func filled(n, of int) commons.Set {
+	s := commons.NewSet(of)
+	for i := range n {
+		s.Add(i)
+	}
+	return s
+}
+
+// The arithmetic of lengths is that of the codec, for digests and reports of any shape.
+func TestLengthsAreThoseOfTheCodec(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	check := func(m commons.Message, siblings int, got Packed) {
+		t.Helper()
+		texts := m.Texts(siblings)
+		require.Equal(t, Packed{len(texts[0]), commons.Chars(texts), len(texts)}, got, "%d siblings, %+v", siblings, m)
+	}
+	beside := func(m *commons.Message, marks, counts, pairs int) {
+		m.Marks, m.Counts, m.Pairs = make([]commons.Mark, marks), make([]commons.Count, counts), make([]commons.Pair, pairs)
+	}
+	sizes := []int{1, 2, 7, 8, 9, 80, 300, 568, 569, 577, 1000, 1900, 1901}
+	for i := range 4000 {
+		siblings := sizes[i%len(sizes)]
+		figs, marks, counts, pairs := 1+rng.IntN(figuresMost), rng.IntN(20), rng.IntN(1200), rng.IntN(60)
+		if i%3 == 0 {
+			counts, pairs = 0, 0
+		}
+		row := make([]float64, figs)
+		m := commons.Message{Hub: true, Sum: commons.Digest{Sums: row, Gone: row, Moved: row,
+			Covered: filled(siblings, siblings), Missing: commons.NewSet(siblings)}}
+		beside(&m, marks, counts, pairs)
+		d := Digest{Siblings: siblings, Figures: figs, Marks: marks, Counts: counts, Pairs: pairs}
+		if d.Partial = i%2 == 0 && siblings > 1; d.Partial {
+			m.Sum.Covered = filled(siblings-1, siblings)
+			if d.Missing = rng.IntN(2) == 0; d.Missing {
+				m.Sum.Missing.Add(siblings - 1)
+			}
+		}
+		check(m, siblings, d.Length())
+
+		r := Report{Figures: figs, Quoted: rng.IntN(figs+2) - 1, Marks: marks, Counts: counts, Pairs: pairs}
+		m = commons.Message{Row: commons.Row{Figures: row}}
+		if r.Quoted >= 0 {
+			m.Row.Prev = make([]float64, figs)
+			for j := r.Quoted; j < figs; j++ {
+				m.Row.Prev[j] = math.NaN()
+			}
+		}
+		beside(&m, marks, counts, pairs)
+		check(m, siblings, r.Length())
+	}
+}
+
+const figuresMost = 15
+
+// The issue's lengths: with one missing 364 at 1,000 siblings and 666 at 1,900; under the limit at 300.
+func TestFirstTextWithOneMissing(t *testing.T) {
+	first := func(siblings, figures int) int {
+		return Digest{Siblings: siblings, Figures: figures, Partial: true, Missing: true}.Length().First
+	}
+	for _, c := range []struct{ siblings, figures, want int }{{300, 7, 164}, {1000, 3, 364}, {1900, 3, 666}, {1900, 7, 698}} {
+		assert.Equal(t, c.want, first(c.siblings, c.figures), "%+v", c)
+	}
+	assert.Equal(t, 576, Fits(Digest{Figures: 7, Partial: true, Missing: true}, 4000))
+	assert.Equal(t, 4000, Fits(Digest{Figures: 7}, 4000), "nobody missing: no bits")
+}
+
+// Where the price of messages stops a digest, by hand: 10 = 0.021/256 x (n - 1) x characters.
+func TestPriceStopsADigest(t *testing.T) {
+	full := func(int) int { return 256 }
+	assert.Equal(t, 477, Stops(0.021, 4000, full)) // 10 / 0.021 = 476.2 receivers of a full datagram
+	assert.Equal(t, 1+1250, Stops(0.008, 4000, func(int) int { return 256 }))
+	assert.Equal(t, 4000, Stops(0, 4000, func(int) int { return 256 }), "below the floor: 0.002, up to 5,001")
+	missing := Stops(0.021, 4000, func(n int) int { return Digest{Siblings: n, Figures: 7, Partial: true, Missing: true}.Length().All })
+	assert.InDelta(t, 517, missing, 4)
+}
+
+// constants are those of the sources that the arithmetic copies, as they are written there.
+func constants(t *testing.T, path string) map[string]string {
+	t.Helper()
+	set := token.NewFileSet()
+	f, err := parser.ParseFile(set, path, nil, 0)
+	require.NoError(t, err)
+	out := map[string]string{}
+	ast.Inspect(f, func(n ast.Node) bool {
+		if g, ok := n.(*ast.GenDecl); ok && g.Tok == token.CONST {
+			for _, s := range g.Specs {
+				v := s.(*ast.ValueSpec)
+				for i, x := range v.Values {
+					var b strings.Builder
+					require.NoError(t, printer.Fprint(&b, set, x))
+					out[v.Names[i].Name] = b.String()
+				}
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// A constant that changes in the program must change here: figures of the page rest on it.
+func TestSizesAreThoseOfTheSources(t *testing.T) {
+	of := ofProgram()
+	for _, c := range []struct {
+		path, name, written string
+		value, want         float64
+	}{
+		{"../../commons/message.go", "textMax", "190", of.textMax, 190},
+		{"../../commons/message.go", "marksMax", "12", of.marksMax, 12},
+		{"../../commons/message.go", "figsMax", "15", figuresMost, 15},
+		{"../platform/channel.go", "maxDatagram", "256", of.datagram, 256},
+		{"../platform/channel.go", "datagramWait", "256", of.waiting, 256},
+		{"../platform/channel.go", "maxLine", "4 << 20", of.line, 4 << 20},
+		{"../platform/channel.go", "channelQuiet", "2 * time.Second", of.quiet, 2},
+		{"../platform/channel.go", "channelDial", "time.Second", of.dial, 1},
+		{"../platform/channel.go", "channelMost", "400 * time.Millisecond", of.most, 0.4},
+		{"../platform/fleet.go", "idleShare", "0.6", of.idleShare, 0.6},
+		{"../daemon/daemon.go", "reserved", "20", of.reserved, 20},
+		{"../daemon/daemon.go", "clientSpare", "16", of.clientSpare, 16},
+		{"../daemon/daemon.go", "memoryPart", "0.7", of.memoryPart, 0.7},
+		{"../../core.go", "eventsWait", "1024", of.eventsWait, 1024},
+		{"../../decide/decide.go", "tellShare", "0.005", of.tellShare, 0.005},
+		{"../../decide/decide.go", "tellFloor", "0.002", of.tellFloor, 0.002},
+		{"../../decide/decide.go", "purseMax", "10.0", of.purseMax, 10},
+		{"../../decide/decide.go", "hubAims", "2", of.hubAims, 2},
+		{"../../decide/decide.go", "beats", "8", of.beats, 8},
+		{"../../decide/decide.go", "helloPeers", "3", of.hello, 3},
+		{"../../decide/decide.go", "pairPart", "8", of.pairPart, 8},
+		{"../../verdict/verdict.go", "longest", "8", of.longest, 8},
+		{"../../roster/roster.go", "defaultProbeRate", "300", Letter().ProbeRate, 300},
+	} {
+		assert.Equal(t, c.written, constants(t, c.path)[c.name], "%s in %s", c.name, c.path)
+		assert.InDelta(t, c.want, c.value, 1e-12, c.name)
+	}
+}
+
+// The bytes assumed of a list event and of an executor in a whole list are those of the platform's form.
+func TestBytesOfAListEvent(t *testing.T) {
+	member := func(addr, zone string, start int64) string {
+		return fmt.Sprintf(`{"id":"s-00c41f7a","host_port":%q,"locality":%q,"flavor":"std","cell":2,"phase":"Ready","size":4,"up_since_ms":%d}`,
+			addr, zone, start)
+	}
+	event := func(m string) int {
+		return len(fmt.Sprintf(`{"cursor":41,"nodes":{"revision":7,"complete":false,"members":[%s]}}`+"\n", m))
+	}
+	for _, a := range Assumptions() {
+		if a.Name == "bytes of a list event" {
+			assert.InDelta(t, event(member("10.1.0.9:9090", "east", 0)), a.Low, 4)
+			assert.InDelta(t, event(member("10.1.200.19:9090", "north-room", 1764650000000)), a.Value, 8)
+		}
+	}
+	assert.InDelta(t, len(member("10.1.200.19:9090", "north-room", 1764650000000)+","), memberBytes, 2)
+}
+
+func TestAssumptionsSpanTheirValue(t *testing.T) {
+	for _, a := range Assumptions() {
+		assert.LessOrEqual(t, a.Low, a.Value, a.Name)
+		assert.LessOrEqual(t, a.Value, a.High, a.Name)
+		assert.Less(t, a.Low, a.High, a.Name)
+		assert.NotEmpty(t, a.Why, a.Name)
+	}
+	c := Base(Letter())
+	assert.InDelta(t, 200, c.CallsEach(), 1e-9)
+	assert.InDelta(t, 9600, c.Listed(), 1e-9)
+	for _, d := range []Dimension{Fleet, Dispatchers} {
+		assert.InDelta(t, 200, c.Scaled(d, 0.25).CallsEach(), 1e-9, "each dispatcher keeps its calls")
+	}
+	assert.InDelta(t, 50, c.Scaled(Calls, 0.25).CallsEach(), 1e-9)
+}
+
+// Rows by hand.
+func TestRowsByHand(t *testing.T) {
+	s := all()
+	s["cpu.choice/executors"] = slope(5000, 10, 600) // 101 us at 9,600
+	for _, dim := range []string{"functions", "dispatchers", "calls"} {
+		delete(s, "cpu.choice/"+dim)
+	}
+	s["cpu.choice/functions"] = Slope{Curve: line{1000, 1}, Base: 3000, Spread: 0.2, Command: "go test ./decide -bench Choice"} // 49,000 over 4,000
+	rows := Rows(Letter(), LetterBudgets(), s)
+	for _, c := range []struct {
+		role, what    string
+		want, breaks  float64
+		within        float64
+		breaksMissing bool
+	}{
+		{dispatcher, "processor time: choices", 400 * 101e-6 * 12.25, (0.045/400/12.25*1e9 - 5000) / 10 / 9600, 1e-9, false},
+		{dispatcher, "executors that share a 16-bit tag with another, pairs", 703.05, 362.54 / 9600, 0.01, false},
+		{dispatcher, "functions that share a 32-bit tag with another, pairs", 0.26821, math.Sqrt(2*math.Exp2(32)) / 48_000, 1e-4, false},
+		{dispatcher, "connections to executors", 9600 * (1 - math.Exp(-400*9/9600.0)), 0, 1e-6, true},
+		{dispatcher, "whole list: its line", 152 * 9600, 4 << 20 / 152.0 / 9600, 1e-6, false},
+		{dispatcher, "command channel", (0.33+5100/86400.0)*220 + 8, (2000 - 8 - 0.33*220) / 220 * 86400 / 5100, 1e-6, true},
+		{collector, "price of a short digest, nobody missing", 0.021 * 1899 / 256 * 26, 0, 1e-6, true},
+		{collector, "first text, one missing", 698, 577.0 / 1900, 1e-6, false},
+		{executor, "calls", 380_000 / 9600.0, 0, 1e-9, true},
+		{discovery, "burst of 20 changes in a second", 20 * 1900 * 220, 0, 1e-6, true},
+		{letter, "a change of the list, in force everywhere", 6.4, 0, 1e-9, true},
+		{letter, "48,000 functions: one dispatcher meets such a function every", 1900 * 120, 0, 1e-6, true},
+		{letter, "48,000 functions: loads of these", 0.8 * 48_000 / 120 * math.Exp(-10.0/120), 0, 1e-9, true},
+		{letter, "a zone gone: the rest bears more", 1.0 / 9, 0, 1e-9, true},
+	} {
+		r := find(t, rows, c.role, c.what)
+		assert.InDelta(t, c.want, float64(r.Value), c.within, c.what)
+		if !c.breaksMissing {
+			assert.InEpsilon(t, c.breaks, float64(r.Breaks), 0.004, c.what)
+		}
+		if !math.IsNaN(float64(r.Budget)) {
+			assert.InDelta(t, float64(r.Budget)/float64(r.Value), float64(r.Headroom), 1e-9, c.what)
+		}
+	}
+	choice := find(t, rows, dispatcher, "processor time: choices")
+	assert.Equal(t, []string{"cpu.choice/executors", "cpu.choice/functions"}, choice.Slopes)
+	assert.Equal(t, "oaklab run capacity, go test ./decide -bench Choice", choice.Command)
+	assert.InDelta(t, 0.2, float64(choice.Spread), 1e-9)
+	assert.Zero(t, float64(choice.Low), "choices may not count as control")
+
+	all := find(t, rows, dispatcher, "processor time: all control together")
+	sum := 0.0
+	for _, r := range rows {
+		if r.Role == dispatcher && strings.HasPrefix(r.What, "processor time: ") && r.What != all.What && !r.Was {
+			sum += float64(r.Value)
+		}
+	}
+	assert.InEpsilon(t, sum, float64(all.Value), 1e-9)
+}
+
+// Reports at the letter's calls: one each 50 ms, for a call pays for more than that; at a tenth of the calls what these pay for.
+func TestReportsAreBoundByRoundsAndByPrice(t *testing.T) {
+	c := Base(Letter())
+	rate, p := c.reports(200)
+	assert.InDelta(t, 20, rate, 1e-9)
+	assert.Equal(t, 2, p.Texts)
+	rate, p = c.reports(20)
+	assert.InDelta(t, 0.005*20/(0.021/256*float64(p.All)), rate, 1e-9)
+	assert.Less(t, rate, 20.0)
+}
+
+// Those over budget come first and the furthest over before the others; then by headroom; then what is not measured, then what has
+// no budget, and at the end what the program no longer does.
+func TestOrderOfRows(t *testing.T) {
+	s := all()
+	delete(s, "heap/executors")
+	rows := Rows(Letter(), LetterBudgets(), s)
+	rank, head := -1, 0.0
+	seen := map[int]int{}
+	for _, r := range rows {
+		now := r.rank()
+		require.GreaterOrEqual(t, now, rank, "%s: %s", r.Role, r.What)
+		if now > rank {
+			rank, head = now, 0
+		}
+		if now < 2 {
+			require.GreaterOrEqual(t, float64(r.Headroom), head, "%s: %s", r.Role, r.What)
+			require.Equal(t, now == 0, r.Over())
+			head = float64(r.Headroom)
+		}
+		seen[now]++
+	}
+	for i := range 5 {
+		assert.NotZero(t, seen[i], "rank %d", i)
+	}
+	missing := Missing(rows)
+	at, ended := 0.0, false
+	for _, r := range missing {
+		require.True(t, r.Measured())
+		require.LessOrEqual(t, float64(r.Breaks), 1.0)
+		if r.Breaks == 0 {
+			ended = true
+			continue
+		}
+		require.False(t, ended, "what breaks at any size comes last")
+		require.GreaterOrEqual(t, float64(r.Breaks), at, r.What)
+		at = float64(r.Breaks)
+	}
+	assert.NotEmpty(t, missing)
+}
+
+// A slope that is not there gives "not measured" and never a number, also where the row needs others that are.
+func TestMissingSlopeIsNotMeasured(t *testing.T) {
+	full := all()
+	names := 0
+	for _, none := range []Slopes{nil, {"cpu.choice/executors": {Base: 600, Command: "x"}}} {
+		for _, r := range Rows(Letter(), LetterBudgets(), none) {
+			if len(r.Missing) == 0 {
+				assert.True(t, r.Measured(), r.What)
+				assert.Equal(t, arithmetic, r.Command, r.What)
+				continue
+			}
+			names++
+			assert.False(t, r.Measured(), r.What)
+			assert.Empty(t, r.Command, r.What)
+			for _, f := range []Figure{r.Value, r.Low, r.High, r.Headroom, r.Breaks} {
+				assert.True(t, math.IsNaN(float64(f)), r.What)
+			}
+			assert.Contains(t, r.value(), "not measured: ")
+			raw, err := json.Marshal(r)
+			require.NoError(t, err)
+			assert.Contains(t, string(raw), `"value":null`)
+		}
+	}
+	require.NotZero(t, names)
+	for name := range full {
+		less := Slopes{}
+		for k, v := range full {
+			if k != name {
+				less[k] = v
+			}
+		}
+		for _, r := range Rows(Letter(), LetterBudgets(), less) {
+			if len(r.Missing) > 0 {
+				assert.False(t, r.Measured(), "%s without %s", r.What, name)
+			}
+			assert.NotContains(t, r.Slopes, name)
+		}
+	}
+	r := find(t, Rows(Letter(), LetterBudgets(), Slopes{"cpu.choice/executors": slope(1, 1, 1)}), dispatcher, "processor time: all control together")
+	assert.False(t, r.Measured())
+	assert.Contains(t, r.Missing, "cpu.upkeep/executors")
+}
+
+func TestAssumptionsVariedSpanTheValue(t *testing.T) {
+	varied := 0
+	for _, r := range Rows(Letter(), LetterBudgets(), all()) {
+		require.True(t, r.Measured(), "%s: %s", r.Role, r.What)
+		assert.LessOrEqual(t, float64(r.Low), float64(r.Value), r.What)
+		assert.LessOrEqual(t, float64(r.Value), float64(r.High), r.What)
+		if r.Low < r.High {
+			varied++
+		}
+	}
+	assert.Greater(t, varied, 20)
+}
+
+// What a row uses up at a part of the size, it does not use up a little below.
+func TestBreaksIsTheFirstCrossing(t *testing.T) {
+	s, base, b := all(), Base(Letter()), LetterBudgets()
+	n := 0
+	for _, x := range specs(base, b) {
+		r := x.row(base, b, s)
+		if math.IsNaN(x.budget) || r.Breaks == 0 || math.IsInf(float64(r.Breaks), 0) {
+			continue
+		}
+		n++
+		at := func(part float64) float64 {
+			return x.of(&reading{Case: base.Scaled(x.along, part), budgets: b, slopes: s})
+		}
+		assert.Greater(t, at(float64(r.Breaks)), x.budget, r.What)
+		assert.LessOrEqual(t, at(float64(r.Breaks)/1.002), x.budget, r.What)
+	}
+	assert.Greater(t, n, 10)
+}
+
+func TestWaits(t *testing.T) {
+	assert.InDelta(t, 0.3, Waits(0.3, 1), 1e-12) // M/M/1: the load itself
+	assert.InDelta(t, 1.0/3, Waits(1, 2), 1e-12) // M/M/2 at half
+	assert.InDelta(t, 1, Waits(4, 4.5), 1e-12)   // four slots, all busy
+	assert.Less(t, Waits(0.05, 4.5), 1e-6)
+}
+
+// Calls at random that find a copy or load one, against the formula.
+func TestRareLoads(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	for _, rate := range []float64{1.0 / 600, 1.0 / 60, 1.0 / 10} {
+		cold, copies := RareLoads(rate, 10, 1.3)
+		const n = 400_000
+		misses, long, stood := 0, 0.0, 0.0
+		for range n {
+			gap := rng.ExpFloat64() / rate
+			long += gap
+			stood += min(gap, 10)
+			if gap > 10 {
+				misses++
+				stood += 1.3
+			}
+		}
+		assert.InEpsilon(t, float64(misses)/n, cold, 0.01)
+		assert.InEpsilon(t, stood/long, copies, 0.01)
+	}
+}
+
+func TestMarkdown(t *testing.T) {
+	rows := Rows(Letter(), LetterBudgets(), all())
+	table := Markdown(rows)
+	assert.Equal(t, len(rows)+2, strings.Count(table, "\n"))
+	for _, l := range strings.Split(strings.TrimSpace(table), "\n") {
+		assert.Equal(t, 10, strings.Count(l, "|"), l)
+	}
+	assert.NotContains(t, table, "NaN")
+	assert.Equal(t, len(Missing(rows))+2, strings.Count(MarkdownMissing(rows), "\n"))
+	assert.Equal(t, len(Assumptions())+2, strings.Count(MarkdownAssumptions(), "\n"))
+	for _, c := range []struct {
+		f    Figure
+		want string
+	}{{Figure(math.NaN()), "not measured"}, {Figure(math.Inf(1)), "none"}, {0.0451, "0.0451"}, {1900, "1900"}, {9600, "9600"},
+		{230_000, "230 k"}, {4.2e6, "4.2 M"}, {2.77e9, "2.77 G"}} {
+		assert.Equal(t, c.want, c.f.String())
+	}
+}
