Capacity: reports are as many as calls pay for, held against the module

Cause: the arithmetic had one report a housekeeping round, but a call to a holder not believed before sends one too, so that the price alone bounds them.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -313,12 +313,13 @@
 	return Report{Figures: int(c.Figures), Quoted: -1, Counts: int(counts), Pairs: int(pairs)}
 }
 
-// reports is how many reports a second a dispatcher sends, and their characters: one each housekeeping round, as far as its calls
-// pay for them (decide.tell, decide.beat).
+// reports is how many reports a second a dispatcher sends, and their characters: one each housekeeping round and one with each call
+// to a holder not believed before (functions drawn evenly), as far as its calls pay for them (decide.beat, send, tell).
 func (c Case) reports(calls float64) (rate float64, p Packed) {
 	of := ofProgram()
 	p = c.reportShape(calls).Length()
-	return min(of.beats/c.Aim, of.tellShare*calls/(max(c.PeerPrice, of.tellFloor)/256*float64(p.All))), p
+	unbelieved := math.Exp(-calls * c.KeepAlive / c.Functions)
+	return min(of.beats/c.Aim+calls*unbelieved, of.tellShare*calls/(max(c.PeerPrice, of.tellFloor)/256*float64(p.All))), p
 }
 
 // wholeDigest has the calls in flight or answers of every listed executor that some dispatcher met within the shortest aim.
@@ -874,7 +875,7 @@
 func byteSpecs(b Budgets, of sizes) []spec {
 	return []spec{
 		{role: dispatcher, what: "reports sent, by arithmetic", unit: "B/s", along: Calls, budget: b.Bytes, budgetOf: ofLetter,
-			formula:   "characters x min(8 / aim, 0.005 calls/s / price of a report): what calls pay for, up to one a round",
+			formula:   "what calls pay for: 0.005 x calls/s x 256 / price; fewer where rounds and calls to new holders are fewer",
 			mechanism: noneYet + ": their price is counted by calls, not by seconds (`decide.tell`)",
 			of: func(r *reading) float64 {
 				rate, p := r.reports(r.CallsEach() * r.Busiest)
