Capacity: slopes named and combined as the experiment has them; table of slopes

Need: the rows must take the slopes of oaklab run capacity as they come: five sizes moved alone, times multiplied, memory and bytes added, the choice from its own section, services from the largest run. Change: that, with a missing slope over any of the sizes giving "not measured"; a table of slopes for the page. Measured: go test ./internal/capacity passed; no slope is in the page yet.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -357,6 +358,12 @@
 // Curve foretells a figure from a size; slope.Fit is one.
 type Curve interface{ At(x float64) float64 }
 
+// Constant is a Curve of a figure that was measured once.
+type Constant float64
+
+// At is the figure.
+func (c Constant) At(float64) float64 { return float64(c) }
+
 // Slope is a measured curve, named figure/dimension such as "cpu.choice/executors". Base is where the dimension stood while
 // others moved.
 type Slope struct {
@@ -370,21 +377,35 @@
 // Slopes are the measured ones by name. A Slope without a Curve is missing.
 type Slopes map[string]Slope
 
-// sizeOf is where a case stands along a dimension of the runs. list: list events a second. A dispatcher's own list and calls count.
+// The names of slopes' dimensions in oaklab run capacity. dimensions are moved alone; each slope of a figure over one of them is
+// needed. choice is that of the section which sets the walk of the whole list beside the program, over executors; largest is not
+// a dimension: a figure as the largest run had it.
+const (
+	overChoice  = "choice"
+	overLargest = "largest"
+)
+
+func dimensions() []string { return []string{"dispatchers", "executors", "functions", "list", "calls"} }
+
+// listRate is list events a second.
+func (c Case) listRate() float64 { return c.ListEvents + c.Changes/86400 }
+
+// sizeOf is where a case stands along a dimension of the runs; list is told there in events a minute. A dispatcher's own list and
+// calls count.
 func (c Case) sizeOf(dimension string) float64 {
 	switch dimension {
 	case "dispatchers":
 		return c.Dispatchers
-	case "executors":
+	case "executors", overChoice:
 		return c.Listed()
 	case "functions":
 		return c.Functions
+	case "list":
+		return 60 * c.listRate()
 	case "calls":
 		return c.CallsEach()
-	case "list":
-		return c.ListEvents + c.Changes/86400
 	}
-	return math.NaN()
+	return 1
 }
 
 // reading evaluates one row of one case, and keeps which slopes it asked for.
@@ -396,28 +417,47 @@
 	missing []string
 }
 
-// figure is a measured figure at the case: its slope along the dimension named first, times what those along the others give
-// over their base, where they were measured. So it takes dimensions to act apart; the largest run tests that. NaN: not measured.
-func (r *reading) figure(name string, first string, others ...string) float64 {
-	y := math.NaN()
-	for i, dim := range append([]string{first}, others...) {
-		key := name + "/" + dim
-		s := r.slopes[key]
+// over is a figure at the case by one slope; NaN: not measured.
+func (r *reading) over(figure, dimension string) float64 {
+	key := figure + "/" + dimension
+	s := r.slopes[key]
+	if s.Curve == nil {
+		r.missing = append(r.missing, key)
+		return math.NaN()
+	}
+	r.used = append(r.used, key)
+	return s.Curve.At(r.sizeOf(dimension))
+}
+
+// largest is a figure as the largest run had it, whatever the case: it is a service, which no shape foretells.
+func (r *reading) largest(figure string) float64 { return r.over(figure, overLargest) }
+
+// step is the time of one step at the case: from the base on, the factors by which the dimensions raise it are multiplied.
+// state is one of what adds up, as memory and bytes: what each dimension adds is added. So dimensions are taken to act
+// apart, as the prediction of the largest run does, which tests it. NaN: a slope over some dimension is not measured.
+func (r *reading) step(figure string) float64  { return r.combined(figure, true) }
+func (r *reading) state(figure string) float64 { return r.combined(figure, false) }
+
+func (r *reading) combined(figure string, product bool) float64 {
+	base, sum, factor := 0.0, 0.0, 1.0
+	for _, dim := range dimensions() {
+		to := r.over(figure, dim)
+		s := r.slopes[figure+"/"+dim]
 		if s.Curve == nil {
-			if i == 0 {
-				r.missing = append(r.missing, key)
-				return math.NaN()
-			}
+			base = math.NaN()
 			continue
 		}
-		r.used = append(r.used, key)
-		if x := s.Curve.At(r.sizeOf(dim)); i == 0 {
-			y = x
-		} else if base := s.Curve.At(s.Base); base > 0 {
-			y *= x / base
+		from := s.Curve.At(s.Base)
+		base += from / float64(len(dimensions()))
+		sum += to - from
+		if from > 0 {
+			factor *= to / from
 		}
 	}
-	return y
+	if product {
+		return base * factor
+	}
+	return max(0, base+sum)
 }
 
 // ---- Rows.
@@ -469,7 +509,6 @@
 	Breaks    Figure    `json:"breaks"` // part of that dimension at which the budget is used up; 0: at any size; +Inf: not up to 64 times
 	Mechanism string    `json:"mechanism"`
 	Slopes    []string  `json:"slopes,omitempty"`
-	Curves    []string  `json:"curves,omitempty"`  // of these, as they read
 	Missing   []string  `json:"missing,omitempty"` // slopes that were asked for and not there
 	Command   string    `json:"command,omitempty"`
 	Spread    Figure    `json:"spread"`
@@ -542,18 +581,14 @@
 		Value: Figure(s.of(r)), Slopes: unique(r.used), Missing: unique(r.missing), Command: arithmetic, Was: s.was}
 	none := Figure(math.NaN())
 	out.Low, out.High, out.Headroom, out.Breaks = none, none, none, none
-	if len(out.Slopes) > 0 {
-		out.Command = ""
-	}
+	var commands []string
 	for _, name := range out.Slopes {
-		if x := slopes[name]; !strings.Contains(out.Command, x.Command) {
-			out.Command = strings.TrimPrefix(out.Command+", "+x.Command, ", ")
-		}
-		if x := slopes[name]; x.Text != "" {
-			out.Curves = append(out.Curves, name+": "+x.Text)
-		}
+		commands = append(commands, slopes[name].Command)
 		out.Spread = max(out.Spread, Figure(slopes[name].Spread))
 	}
+	if len(commands) > 0 {
+		out.Command = strings.Join(unique(commands), ", ")
+	}
 	if len(out.Missing) > 0 {
 		out.Value, out.Command = none, ""
 		return out
@@ -710,7 +745,7 @@
 
 func (r Row) value() string {
 	if !r.Measured() {
-		return "not measured: " + strings.Join(r.Missing, ", ")
+		return "not measured: " + strings.Join(gathered(r.Missing), ", ")
 	}
 	text := r.Value.String()
 	if r.Low.String() != text || r.High.String() != text {
@@ -742,11 +777,37 @@
 	if len(r.Slopes) == 0 {
 		return r.Command
 	}
-	of := r.Slopes
-	if len(r.Curves) == len(of) {
-		of = r.Curves
+	return fmt.Sprintf("`%s`: %s; spread %.2g", r.Command, strings.Join(gathered(r.Slopes), ", "), float64(r.Spread))
+}
+
+// gathered shortens the names of slopes: one figure over all dimensions is figure/*.
+func gathered(names []string) (out []string) {
+	over := map[string]int{}
+	for _, name := range names {
+		if figure, dim, _ := strings.Cut(name, "/"); slices.Contains(dimensions(), dim) {
+			over[figure]++
+		}
+	}
+	for _, name := range names {
+		figure, dim, _ := strings.Cut(name, "/")
+		if over[figure] == len(dimensions()) && slices.Contains(dimensions(), dim) {
+			name = figure + "/*"
+		}
+		out = append(out, name)
 	}
-	return fmt.Sprintf("`%s`: %s; spread %.2g", r.Command, strings.Join(of, ", "), float64(r.Spread))
+	return unique(out)
+}
+
+// MarkdownSlopes is the table of slopes as the page has it.
+func MarkdownSlopes(slopes Slopes) string {
+	var b strings.Builder
+	b.WriteString("| slope | curve | base | spread | command |\n| --- | --- | --- | --- | --- |\n")
+	for _, name := range slices.Sorted(maps.Keys(slopes)) {
+		if s := slopes[name]; s.Curve != nil {
+			fmt.Fprintf(&b, "| %s | %s | %v | %.2g | `%s` |\n", name, s.Text, Figure(s.Base), s.Spread, s.Command)
+		}
+	}
+	return b.String()
 }
 
 func dash(f Figure) string {
@@ -781,25 +842,25 @@
 // second for upkeep and writing.
 func cpuSpecs(b Budgets) []spec {
 	choice := func(r *reading) float64 {
-		return 1e-9 * r.ChoiceIsControl * r.Busiest * r.CallsEach() * r.figure("cpu.choice", "executors", "functions", "dispatchers", "calls")
+		return 1e-9 * r.ChoiceIsControl * r.Busiest * r.CallsEach() * r.over("cpu.choice", overChoice)
 	}
 	was := func(r *reading) float64 {
-		return 1e-9 * r.ChoiceIsControl * r.Busiest * r.CallsEach() * r.figure("cpu.choice.before", "executors")
+		return 1e-9 * r.ChoiceIsControl * r.Busiest * r.CallsEach() * r.over("cpu.choice.before", overChoice)
 	}
 	upkeep := func(r *reading) float64 {
-		return 1e-9 * r.figure("cpu.upkeep", "executors", "functions", "dispatchers", "calls")
+		return 1e-9 * r.step("cpu.upkeep")
 	}
 	write := func(r *reading) float64 {
-		return 1e-9 * r.figure("cpu.write", "executors", "dispatchers", "calls", "functions")
+		return 1e-9 * r.step("cpu.write")
 	}
 	read := func(r *reading) float64 {
-		return 1e-9 * r.figure("messages.in", "dispatchers", "executors", "calls") * r.figure("cpu.read", "executors", "dispatchers", "calls")
+		return 1e-9 * r.state("messages.in") * r.step("cpu.read")
 	}
 	list := func(r *reading) float64 {
-		return 1e-9 * r.sizeOf("list") * r.figure("cpu.list", "executors", "functions")
+		return 1e-9 * r.listRate() * r.step("cpu.list")
 	}
 	config := func(r *reading) float64 {
-		return 1e-9 * r.Changes / 86400 * r.figure("cpu.config", "executors", "functions")
+		return 1e-9 * r.Changes / 86400 * r.step("cpu.config")
 	}
 	row := func(what, formula string, along Dimension, mechanism string, of func(*reading) float64) spec {
 		return spec{role: dispatcher, what: "processor time: " + what, unit: "of a core", formula: formula, along: along,
@@ -819,7 +880,7 @@
 		row("new configuration", "changes/s x cpu.config", Executors, "`AddClasses`, `SetMaxAttempts`", config),
 		{role: dispatcher, what: "processor time: its busiest second", unit: "of a core", formula: "cpu.busiest", along: Fleet,
 			mechanism: "-", budget: 1, budgetOf: ofTheProgram, of: func(r *reading) float64 {
-				return r.figure("cpu.busiest", "dispatchers", "executors", "functions", "calls")
+				return r.largest("cpu.busiest")
 			}},
 		row("all control together", "the six above", Fleet, "-", func(r *reading) float64 {
 			return choice(r) + upkeep(r) + write(r) + read(r) + list(r) + config(r)
@@ -844,13 +905,13 @@
 			formula: "heap; budget 0.7 of the limit, where collection works harder", along: Fleet,
 			mechanism: "`SetMemoryLimit` (`internal/daemon`)",
 			budget:    of.memoryPart * b.Memory, budgetOf: ofLetter, of: func(r *reading) float64 {
-				return r.figure("heap", "executors", "functions", "dispatchers", "calls")
+				return r.state("heap")
 			}},
 		{role: dispatcher, what: "memory: heap as it grows between collections", unit: "B",
 			formula: "2.5 x heap: collected at 150 %", along: Fleet,
 			mechanism: "`SetGCPercent`, `SetMemoryLimit` (`internal/daemon`)", budget: b.Memory, budgetOf: ofLetter,
 			of: func(r *reading) float64 {
-				return (1 + of.collectAt/100) * r.figure("heap", "executors", "functions", "dispatchers", "calls")
+				return (1 + of.collectAt/100) * r.state("heap")
 			}},
 		{role: dispatcher, what: "state: functions in the holder table",
 			formula: "those of its own calls within keep-alive + 8 shortest aims; a collector learns of others", along: Fleet,
@@ -871,7 +932,7 @@
 			formula: "cpu.list.whole; budget: a housekeeping round, from which on it counts as having stood still", along: Executors,
 			mechanism: "`decide.Roster`",
 			budget:    base.Aim / of.beats, budgetOf: ofTheProgram,
-			of: func(r *reading) float64 { return 1e-9 * r.figure("cpu.list.whole", "executors", "functions") }},
+			of: func(r *reading) float64 { return 1e-9 * r.step("cpu.list.whole") }},
 		{role: dispatcher, what: "whole list: its line", unit: "B",
 			formula: "152 x listed; budget: the longest line that is read", along: Executors,
 			mechanism: "`maxLine` (`internal/platform/channel.go`); a longer one ends the connection, again and again",
@@ -897,22 +958,20 @@
 			formula:   "characters of sums and 3 B for each busy executor, once a term",
 			mechanism: "the price stops them: see the collector's rows",
 			of:        func(r *reading) float64 { return float64(r.wholeDigest(true).Length().All) / r.term() }},
-		{role: dispatcher, what: "messages in", unit: "B/s", along: Dispatchers, budget: b.Bytes, budgetOf: ofLetter,
-			formula:   "bytes.in",
-			mechanism: "`decide.tell`",
-			of:        func(r *reading) float64 { return r.figure("bytes.in", "dispatchers", "executors", "calls") }},
-		{role: dispatcher, what: "messages out", unit: "B/s", along: Dispatchers, budget: b.Bytes, budgetOf: ofLetter,
-			formula:   "bytes.out",
-			mechanism: "`decide.tell`",
-			of:        func(r *reading) float64 { return r.figure("bytes.out", "dispatchers", "executors", "calls") }},
+		{role: dispatcher, what: "messages in and out", unit: "B/s", along: Fleet, budget: b.Bytes, budgetOf: ofLetter,
+			formula: "bytes", mechanism: "`decide.tell`", of: func(r *reading) float64 { return r.state("bytes") }},
+		{role: dispatcher, what: "messages in", unit: "B/s", along: Fleet, budget: math.NaN(),
+			formula: "bytes.in", mechanism: "`decide.tell`", of: func(r *reading) float64 { return r.state("bytes.in") }},
+		{role: dispatcher, what: "messages out", unit: "B/s", along: Fleet, budget: math.NaN(),
+			formula: "bytes.out", mechanism: "`decide.tell`", of: func(r *reading) float64 { return r.state("bytes.out") }},
 		{role: dispatcher, what: "messages out in its busiest second", unit: "B/s", along: Dispatchers, budget: math.NaN(),
 			formula:   "bytes.out.busiest",
 			mechanism: "`decide.tell`",
-			of:        func(r *reading) float64 { return r.figure("bytes.out.busiest", "dispatchers", "executors", "calls") }},
+			of:        func(r *reading) float64 { return r.state("bytes.out.busiest") }},
 		{role: dispatcher, what: "command channel", unit: "B/s", along: Changes, budget: b.Bytes, budgetOf: ofLetter,
 			mechanism: "changes alone (`internal/platform/channel.go`)",
 			formula:   "(changes/86,400 + list events/s) x bytes of an event + a number's line a second",
-			of:        func(r *reading) float64 { return r.sizeOf("list")*r.EventBytes + 8 }},
+			of:        func(r *reading) float64 { return r.listRate()*r.EventBytes + 8 }},
 		{role: dispatcher, what: "answers to its hellos after a restart", unit: "B", along: Fleet, budget: math.NaN(),
 			mechanism: "`decide.Peer`; not priced",
 			formula:   "3 x all holders that one believes, 6 B each: those of calls within the keep-alive",
@@ -948,7 +1007,7 @@
 			mechanism: noneYet + ": one dispatcher hears all",
 			formula:   "texts a second x cpu.read; budget: the one core that it has", of: func(r *reading) float64 {
 				t, _ := in(r.Case)
-				return 1e-9 * t * r.figure("cpu.read", "executors", "dispatchers", "calls")
+				return 1e-9 * t * r.step("cpu.read")
 			}},
 		{role: collector, what: "texts that come while its loop is busy for a round", along: Fleet,
 			budget: of.eventsWait + of.datagramsInAReceive, budgetOf: ofTheProgram,
@@ -986,12 +1045,12 @@
 		{role: collector, what: "in its busiest second", unit: "B/s", along: Dispatchers, budget: math.NaN(),
 			mechanism: "`decide.tell`",
 			formula:   "collector.in.busiest",
-			of:        func(r *reading) float64 { return r.figure("collector.in.busiest", "dispatchers", "executors", "calls") }},
+			of:        func(r *reading) float64 { return r.state("collector.in.busiest") }},
 		{role: collector, what: "out in its busiest second", unit: "B/s", along: Dispatchers, budget: math.NaN(),
 			mechanism: "`decide.tell`",
 			formula:   "collector.out.busiest",
 			of: func(r *reading) float64 {
-				return r.figure("collector.out.busiest", "dispatchers", "executors", "calls")
+				return r.state("collector.out.busiest")
 			}},
 	}
 }
@@ -1033,7 +1092,7 @@
 		{role: discovery, what: "lines told", unit: "1/s", along: Fleet, budget: none,
 			mechanism: "the platform's",
 			formula:   "dispatchers x (1 + changes/86,400 + list events/s)",
-			of:        func(r *reading) float64 { return r.Dispatchers * (1 + r.sizeOf("list")) }},
+			of:        func(r *reading) float64 { return r.Dispatchers * (1 + r.listRate()) }},
 		{role: discovery, what: "burst of 20 changes in a second", unit: "B/s", along: Fleet, budget: none,
 			mechanism: "the platform's",
 			formula:   "20 x dispatchers x bytes of an event",
@@ -1050,7 +1109,7 @@
 			budget: b.InForce, budgetOf: ofLetter,
 			mechanism: "the channel",
 			formula:   "acts.last, discovery's delay in it as emulated",
-			of:        func(r *reading) float64 { return r.figure("acts.last", "dispatchers", "list") }},
+			of:        func(r *reading) float64 { return r.largest("acts.last") }},
 	}
 }
 
@@ -1120,7 +1179,7 @@
 			mechanism: "an order to load, the call held meanwhile (`decide.hold`)",
 			formula:   "p99.cold",
 			of: func(r *reading) float64 {
-				return r.figure("p99.cold", "functions", "executors", "dispatchers", "calls")
+				return r.largest("p99.cold")
 			}},
 		{role: letter, what: "two machines a day: dispatchers missing at a time, an hour each", along: Fleet, budget: none,
 			mechanism: "remembered, not taken for idle (`commons`)",
@@ -1149,21 +1208,21 @@
 		{role: letter, what: "worth in time, in virtual time", unit: "of that asked", along: Dispatchers, budget: none,
 			mechanism: "-",
 			formula:   "worth",
-			of:        func(r *reading) float64 { return r.figure("worth", "dispatchers", "executors", "functions", "calls") }},
+			of:        func(r *reading) float64 { return r.largest("worth") }},
 		{role: letter, what: "calls never served, in virtual time", unit: "of all", along: Dispatchers,
 			budget: none, mechanism: "-", formula: "unserved",
 			of: func(r *reading) float64 {
-				return r.figure("unserved", "dispatchers", "executors", "functions", "calls")
+				return r.largest("unserved")
 			}},
 		{role: letter, what: "loads, in virtual time", unit: "a call", along: Functions,
 			budget: none, mechanism: "`decide.hold`, `decide.order`", formula: "loads",
-			of: func(r *reading) float64 { return r.figure("loads", "functions", "executors", "dispatchers", "calls") }},
+			of: func(r *reading) float64 { return r.largest("loads") }},
 		{role: letter, what: "part of the fleet that a dispatcher's view covers, in virtual time", along: Dispatchers, budget: none,
 			mechanism: "`commons.View`", formula: "covered",
-			of: func(r *reading) float64 { return r.figure("covered", "dispatchers", "executors", "calls") }},
+			of: func(r *reading) float64 { return r.largest("covered") }},
 		{role: letter, what: "terms in which half of the dispatchers were told", unit: "of all", along: Dispatchers, budget: none,
 			mechanism: "`decide.tell`",
 			formula:   "digests",
-			of:        func(r *reading) float64 { return r.figure("digests", "dispatchers", "executors", "calls") }},
+			of:        func(r *reading) float64 { return r.largest("digests") }},
 	}
 }
