Capacity: the price of messages is an assumption; shorter tests

Change: the price at 0.021, varied from the least that the program reckons with to twice; breaks are sought up to 8 times the size.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -31,7 +31,6 @@
 	Failing     float64 `json:"failing"`      // machines, on an ordinary day
 	Restarted   float64 `json:"restarted"`    // machines restarted or replaced, a day
 	Aim         float64 `json:"aim_s"`        // the shortest wanted time, s: settings, path-check
-	PeerPrice   float64 `json:"peer_price"`   // settings, prices.peer: of 256 bytes a call
 	ConnIdle    float64 `json:"conn_idle_s"`  // settings, permissions.conn_idle_ns, s
 	Descriptors float64 `json:"descriptors"`  // DEPLOY-oakthread, Limits
 	LoadSlots   float64 `json:"load_slots"`   // loads at a time at an executor, 3 to 6: BRIEF-oakthread
@@ -43,7 +42,7 @@
 // Letter is the plan of the operators' letter.
 func Letter() Plan {
 	return Plan{Dispatchers: 1900, Instances: 230_000, Functions: 48_000, Calls: 380_000, Regions: 4, Zones: 10, Changes: 5100, Machines: 17,
-		Failing: 2, Restarted: 100, Aim: 0.4, PeerPrice: 0.021, ConnIdle: 15, Descriptors: 1024, LoadSlots: 4.5, FetchPart: 0.575,
+		Failing: 2, Restarted: 100, Aim: 0.4, ConnIdle: 15, Descriptors: 1024, LoadSlots: 4.5, FetchPart: 0.575,
 		ProbeRate: 300, ProbeWork: 0.4e-3}
 }
 
@@ -70,6 +69,7 @@
 	Busiest         float64 // calls of the busiest dispatcher, in those of the mean
 	EventBytes      float64 // of a list event on the command channel
 	ListEvents      float64 // a second, beside the changes of configuration
+	PeerPrice       float64 // of 256 bytes to one receiver, in the worth of a call
 	Figures         float64 // in a row: tenants, and two more
 	Rare            float64 // part of the functions called less than once a minute
 	RareCalls       float64 // a second, of such a function
@@ -109,6 +109,9 @@
 		{"list events a second beside the changes", "", 0.33, 0.1, 1.3,
 			"each executor replaced once a day, told three times; factors of three and four",
 			func(c *Case, x float64) { c.ListEvents = x }},
+		{"price of 256 bytes told to one, in calls", "", 0.021, 0.002, 0.042,
+			"settings of today (prices.peer); the least that the program reckons with; twice",
+			func(c *Case, x float64) { c.PeerPrice = x }},
 		{"figures in a row", "", 7, 3, 15,
 			"today's five tenants and two more; one tenant; the most that fit", func(c *Case, x float64) { c.Figures = x }},
 		{"part of the functions called less than once a minute", "", 0.8, 0.6, 0.95, "\"most\"", func(c *Case, x float64) { c.Rare = x }},
@@ -506,7 +509,7 @@
 	BudgetOf  string    `json:"budget_of,omitempty"` // who sets it: the letter, the program by a constant of its own, or we, as a yardstick
 	Headroom  Figure    `json:"headroom"`            // budget over value
 	Along     Dimension `json:"along"`
-	Breaks    Figure    `json:"breaks"` // part of that dimension at which the budget is used up; 0: at any size; +Inf: not up to 64 times
+	Breaks    Figure    `json:"breaks"` // part of that dimension at which the budget is used up; 0: at any size; +Inf: not up to 8 times
 	Mechanism string    `json:"mechanism"`
 	Slopes    []string  `json:"slopes,omitempty"`
 	Missing   []string  `json:"missing,omitempty"` // slopes that were asked for and not there
@@ -630,7 +633,7 @@
 }
 
 const (
-	leastPart, mostPart = 1.0 / 4096, 64.0
+	leastPart, mostPart = 1.0 / 4096, 8.0
 	partSteps           = 8 // to an octave, before the crossing is halved in
 )
 
