--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -5,10 +5,9 @@
 // never read a clock.
 
 import (
-	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"oakthread/decide"
@@ -16,52 +15,73 @@
 	"oakthread/roster"
 )
 
-// engine runs events in order of time, then of their making.
+// engine runs events in order of time, then of their making. Its queue is a binary heap of its own: container/heap would
+// allocate for every event.
 type engine struct {
 	now   time.Time
 	seq   int
-	queue eventQueue
+	queue []event
 }
 
 type event struct {
-	at  time.Time
+	at  int64 // Unix time in nanoseconds
 	seq int
 	do  func()
 }
 
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return e
-}
+func (e event) before(x event) bool { return e.at < x.at || e.at == x.at && e.seq < x.seq }
 
 func (e *engine) at(t time.Time, do func()) {
 	e.seq++
-	heap.Push(&e.queue, event{t, e.seq, do})
+	x := event{t.UnixNano(), e.seq, do}
+	e.queue = append(e.queue, x)
+	q, i := e.queue, len(e.queue)-1
+	for up := (i - 1) / 2; i > 0 && x.before(q[up]); up = (i - 1) / 2 {
+		q[i], i = q[up], up
+	}
+	q[i] = x
 }
 
 func (e *engine) after(d time.Duration, do func()) { e.at(e.now.Add(d), do) }
 
+// pop takes the next event; the queue is not empty.
+func (e *engine) pop() event {
+	q, n := e.queue, len(e.queue)-1
+	next, x := q[0], q[n]
+	q[n] = event{}
+	e.queue = q[:n]
+	if q = e.queue; n == 0 {
+		return next
+	}
+	i := 0
+	for down := 1; down < n; down = 2*i + 1 {
+		if down+1 < n && q[down+1].before(q[down]) {
+			down++
+		}
+		if x.before(q[down]) {
+			break
+		}
+		q[i], i = q[down], down
+	}
+	q[i] = x
+	return next
+}
+
+// step runs the next event that is due until a time; false: there is none, and it is that time.
+func (e *engine) step(until time.Time) bool {
+	if len(e.queue) == 0 || e.queue[0].at > until.UnixNano() {
+		e.now = until
+		return false
+	}
+	x := e.pop()
+	e.now = time.Unix(0, x.at)
+	x.do()
+	return true
+}
+
 func (e *engine) run(until time.Time) {
-	for len(e.queue) > 0 && !e.queue[0].at.After(until) {
-		x := heap.Pop(&e.queue).(event)
-		e.now = x.at
-		x.do()
+	for e.step(until) {
 	}
-	e.now = until
 }
 
 const (
@@ -96,14 +116,14 @@
 	popular zipf
 	twice   int
 	late    int // sends that came to a draining box more than the allowance after its dispatcher was told
-	booked  map[string]int
 	calls   []*simCall
 
 	messages  bool // between dispatchers, lost now and then
 	lossy     *rand.Rand
-	delivered int // bytes of messages
-	oversize  int // messages that are too long
-	unreached int // attempts whose connection never came up
+	lost      float64 // part of the messages that never come
+	delivered int     // bytes of messages
+	oversize  int     // messages that are too long
+	unreached int     // attempts whose connection never came up
 
 	mute    bool    // no message comes
 	deaf    float64 // part of the dispatchers, from the first on, that hear no message
@@ -115,6 +135,8 @@
 	cursor  int64
 	sends   []int // attempts begun, by tenths of a second since began
 	goods   []int // calls served, the same
+
+	hollow *hollowWorld // what a run of hollow dispatchers has beside; nil: another experiment
 }
 
 // tally counts one more in the tenth of a second that is now.
@@ -138,7 +160,9 @@
 	ended    time.Time
 	served   bool
 	tries    int
+	ran      int // at a box
 	name     string
+	cold     bool // it found no copy, or was held for one
 }
 
 // simNode is one dispatcher.
@@ -151,14 +175,15 @@
 	open    map[string]*simOpen
 	members map[decide.WorkerID]bool
 	told    map[decide.WorkerID]time.Time // first refusal of a draining box
-	rng     *rand.Rand
+	meter   *meter                        // nil: nothing is measured
 }
 
 type simOpen struct {
 	call     *simCall
+	began    time.Time
 	tries    int
 	deadline time.Time
-	flights  map[int]*simFlight
+	flights  []*simFlight // by attempt
 }
 
 type simFlight struct{ over bool }
@@ -181,8 +206,10 @@
 }
 
 func (w *simWorld) node(n int, seed uint64, fresh bool) (*simNode, error) {
-	s := &simNode{w: w, n: n, open: map[string]*simOpen{}, members: map[decide.WorkerID]bool{}, told: map[decide.WorkerID]time.Time{},
-		rng: rand.New(rand.NewPCG(seed, uint64(n)))}
+	s := &simNode{w: w, n: n, open: map[string]*simOpen{}, members: map[decide.WorkerID]bool{}, told: map[decide.WorkerID]time.Time{}}
+	if w.hollow != nil {
+		s.meter = &w.hollow.meter
+	}
 	s.list = roster.New(roster.Config{Seed: seed + uint64(n), Siblings: len(w.nodes), MaxWait: 1500 * time.Millisecond, Fresh: fresh})
 	var err error
 	set := w.f.settings(n, len(w.nodes))
@@ -203,7 +230,9 @@
 			s.members[b.ID] = b.State == decide.On
 			es = append(es, decide.Entry{Worker: b.ID, Zone: b.Zone, Kind: b.Kind, Cell: b.Cell, State: b.State, Weight: b.Weight, Start: b.Start.UnixNano()})
 		}
+		s.meter.begin(s.n, partList)
 		s.d.Roster(s.w.now.UnixNano(), p.Kind, es)
+		s.meter.end()
 	}
 	for _, b := range a.Probe {
 		s.probe(b.ID)
@@ -259,11 +288,13 @@
 		s.again(c, wait, true)
 		return
 	}
-	id := fmt.Sprintf("%s.%d", c.name, c.tries)
+	id := c.name + "." + strconv.Itoa(c.tries)
 	deadline := c.intended.Add(s.w.f.Classes[c.class].GiveUp - 200*time.Millisecond)
-	s.open[id] = &simOpen{call: c, deadline: deadline, flights: map[int]*simFlight{}}
+	s.open[id] = &simOpen{call: c, began: s.w.now, deadline: deadline}
+	s.meter.begin(s.n, partChoice)
 	s.d.Request(s.w.now.UnixNano(), decide.Request{ID: id, Class: c.class, Tenant: -1, Func: decide.FuncID(c.model), Deadline: deadline.UnixNano(),
 		MemoryMB: 4000, Lanes: s.w.f.Lanes, LoadTime: int64(s.w.f.Load)})
+	s.meter.end()
 }
 
 // again has the client come back, where that is harmless and there is time.
@@ -272,29 +303,42 @@
 	c.tries++
 	if c.tries > s.w.load.Retries || k.Once && !harmless || s.w.now.Add(wait+k.Work).After(c.intended.Add(k.GiveUp)) {
 		c.ended = s.w.now
+		s.w.hollow.over(c)
 		return
 	}
-	s.w.after(wait, func() { s.w.nodes[s.n].arrive(c) })
+	s.w.after(wait, func() { s.w.home(s.n).arrive(c) })
+}
+
+// home is the dispatcher that clients of the nth go to: a hollow one's, while it is gone, to another.
+func (w *simWorld) home(n int) *simNode {
+	if w.hollow == nil {
+		return w.nodes[n]
+	}
+	return w.hollow.home(n)
 }
 
 func (s *simNode) end(id string, o *simOpen, served bool) {
 	delete(s.open, id)
 	if served {
 		o.call.served, o.call.ended = true, s.w.now
+		s.w.hollow.over(o.call)
 	}
 }
 
 // Send and the other methods are decide.Host.
 func (s *simNode) Send(id string, w decide.WorkerID, until int64) {
+	s.meter.pause()
+	defer s.meter.resume()
 	o := s.open[id]
 	if o == nil {
 		return
 	}
+	o.call.cold = o.call.cold || o.tries == 0 && s.w.now.After(o.began)
 	n, sent := o.tries, s.w.now
 	o.tries++
 	s.w.tally(&s.w.sends)
 	fl := &simFlight{}
-	o.flights[n] = fl
+	o.flights = append(o.flights, fl)
 	land := func(r decide.Result, warm decide.Warmth, crowd int, rep []float64) {
 		if fl.over || s.dead {
 			return
@@ -311,8 +355,10 @@
 			s.list.Observe(s.w.now, w, sign)
 			s.flush()
 		}
+		s.meter.begin(s.n, partChoice)
 		s.d.Outcome(s.w.now.UnixNano(), decide.Outcome{ID: id, Attempt: n, Worker: w, Result: r, Finished: s.open[id] == nil, Warmth: warm, Crowd: crowd,
 			RTT: int64(s.w.now.Sub(sent)), Report: rep})
+		s.meter.end()
 	}
 	x := s.w.byID[w]
 	if !s.members[w] {
@@ -340,7 +386,7 @@
 	c := o.call
 	if x.failing {
 		x.spoilt++
-		x.took = append(x.took, w.now)
+		w.take(x)
 		w.book(c)
 		w.after(simWay, func() { land(decide.Error, 0, 0, nil) })
 		return
@@ -354,6 +400,7 @@
 		if w.unheard > 0 && w.lossy.Float64() < w.unheard {
 			return // the deadline ends it
 		}
+		c.cold = c.cold || j.Note != Hit
 		rep, warm := report(), [...]decide.Warmth{decide.WarmHit, decide.BeganLoad, decide.AwaitedLoad}[j.Note]
 		w.after(simWay, func() { land(decide.OK, warm, j.Same, rep) })
 	}
@@ -377,17 +424,23 @@
 		w.after(simWay, func() { land(res, 0, 0, rep) })
 		return
 	}
-	x.took = append(x.took, w.now)
+	w.hollow.loaded(j)
+	w.take(x)
 	w.book(c)
 	w.advance(x)
 }
 
+// take notes when a box took a call; a hollow run, which has many, does not.
+func (w *simWorld) take(x *simBox) {
+	if w.hollow == nil {
+		x.took = append(x.took, w.now)
+	}
+}
+
 // book counts a call of a class that must not run twice.
 func (w *simWorld) book(c *simCall) {
-	if w.f.Classes[c.class].Once {
-		if w.booked[c.name]++; w.booked[c.name] == 2 {
-			w.twice++
-		}
+	if c.ran++; c.ran == 2 && w.f.Classes[c.class].Once {
+		w.twice++
 	}
 }
 
@@ -412,8 +465,8 @@
 	if o == nil {
 		return // its ends no longer matter to anyone but the module, which has forgotten it
 	}
-	if fl := o.flights[attempt]; fl != nil {
-		fl.over = true
+	if attempt < len(o.flights) {
+		o.flights[attempt].over = true
 	}
 }
 
@@ -435,10 +488,14 @@
 }
 
 func (s *simNode) Load(id decide.WorkerID, f decide.FuncID, count int) {
+	s.meter.pause()
+	defer s.meter.resume()
 	x := s.w.byID[id]
 	loaded := func(n int, r decide.Result) {
 		if !s.dead {
+			s.meter.begin(s.n, partChoice)
 			s.d.Loaded(s.w.now.UnixNano(), id, f, n, r)
+			s.meter.end()
 		}
 	}
 	if x.fate != stays && x.fate != drains || !s.w.reaches(s, x) {
@@ -452,6 +509,7 @@
 			s.w.after(simWay, func() { loaded(0, decide.Full) })
 			return
 		}
+		s.w.hollow.loaded(j)
 		s.w.advance(x)
 	})
 }
@@ -463,29 +521,51 @@
 func (s *simNode) Watch()     {}
 func (s *simNode) Log(string) {}
 
-// Tell carries a message to one dispatcher, or to all others; some are lost.
+// Tell carries a message to one dispatcher, or to all others; some are lost. What goes to all is one event.
 func (s *simNode) Tell(to int, data string) {
+	s.meter.pause()
+	defer s.meter.resume()
 	if len(data) > peerBytes {
 		s.w.oversize++
 		return
 	}
-	for n, x := range s.w.nodes {
-		if n == s.n || to >= 0 && n != to || s.w.lossy.Float64() < peerLost || s.w.mute || float64(n) < s.w.deaf*float64(len(s.w.nodes)) {
+	first, last := max(0, to), to
+	if to < 0 {
+		last = len(s.w.nodes) - 1
+	}
+	note := s.w.hollow.wrote(s, to, data)
+	var hear []*simNode
+	for n := first; n <= last; n++ {
+		if n == s.n || s.w.lossy.Float64() < s.w.lost || s.w.mute || float64(n) < s.w.deaf*float64(len(s.w.nodes)) || s.w.hollow.parted(s.n, n) {
 			continue
 		}
 		s.w.delivered += len(data)
-		s.w.after(peerWay, func() {
-			if !x.dead {
-				x.d.Peer(s.w.now.UnixNano(), s.n, data)
-			}
-		})
+		hear = append(hear, s.w.nodes[n])
+	}
+	if len(hear) == 0 {
+		return
 	}
+	s.w.after(peerWay, func() {
+		for _, x := range hear {
+			if x.dead {
+				continue
+			}
+			s.w.hollow.heard(x.n, data, note)
+			s.meter.begin(x.n, partRead)
+			x.d.Peer(s.w.now.UnixNano(), s.n, data)
+			s.meter.end()
+		}
+	})
 }
 
 func (s *simNode) Timer(delay, ref int64) {
+	s.meter.pause()
+	defer s.meter.resume()
 	s.w.after(time.Duration(delay), func() {
 		if !s.dead {
+			s.meter.begin(s.n, partUpkeep)
 			s.d.Timer(s.w.now.UnixNano(), ref)
+			s.meter.end()
 		}
 	})
 }
@@ -501,7 +581,7 @@
 			class++
 			u -= w.f.Classes[class].Share
 		}
-		c := &simCall{class: class, model: w.load.model(w.popular.draw(rng.Float64()), w.now), intended: w.now, name: fmt.Sprintf("%d.%d", n, seq)}
+		c := &simCall{class: class, model: w.load.model(w.popular.draw(rng.Float64()), w.now), intended: w.now, name: strconv.Itoa(n) + "." + strconv.Itoa(seq)}
 		w.calls = append(w.calls, c)
 		w.nodes[n].arrive(c)
 		w.arrivals(n, rng, seq+1, until)
@@ -516,7 +596,7 @@
 
 // keptSim restarts a whole fleet in virtual time: warm up, replace four boxes in ten, crash, restart within a second.
 func keptSim(f *Figures, dispatchers, boxes int, rate float64, fresh bool, seed uint64) (*keptSimResult, error) {
-	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, booked: map[string]int{}, popular: newZipf(8*boxes, 0.4),
+	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4),
 		load: Load{Rate: rate / float64(dispatchers), Models: 8 * boxes, Zipf: 0.4, Turn: 12 * time.Second, Retries: 2}}
 	w.now = time.Unix(1_800_000_000, 0)
 	began := w.now
