Hollow runs: the meter held against the world, a price for messages, a warm-up

The meter's counts are tested against what the world delivered, clients sent and executors loaded. A run broken off by ctx or by memory keeps its figures, marked partial.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -202,7 +202,7 @@
 // fleetWorld lays out a fleet in virtual time whose clients send until the end of a trouble's watch.
 func fleetWorld(f *Figures, dispatchers, boxes int, messages bool, seed uint64) (*simWorld, error) {
 	rate := float64(fleetCalls * boxes)
-	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4), messages: messages, lost: peerLost,
+	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4), messages: messages, lost: peerLost, price: peerPrice,
 		load: Load{Rate: rate / float64(dispatchers), Models: 8 * boxes, Zipf: 0.4, Turn: 12 * time.Second, Retries: 2}}
 	w.now = time.Unix(1_800_000_000, 0)
 	w.lossy = rand.New(rand.NewPCG(seed, 3))
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -35,12 +35,16 @@
 	ListEvents                        float64       // changes of the list a second, told to all: an executor drains and comes back, or a weight changes
 	Zipf                              float64       // exponent of the functions' popularity; 0: drawn evenly
 	Span                              time.Duration // virtual time that is measured, after a warm-up
+	Warm                              time.Duration // the warm-up; 0: 6 s
 	// Before has the whole list walked for every choice.
 	// TODO: it sets a field of decide.Settings, once there is one.
 	Before bool
 	Fault  string  // "" or one of HollowFaults()
 	Memory uint64  // bytes that the process may take; 0: half of the machine's
 	Lost   float64 // part of the messages that never come
+	// PeerPrice is decide.Settings.PeerPrice: what a message costs, of the worth of a call; 0: the least that decide takes.
+	// At the 0.021 of the experiment fleet no purse buys a digest for 1,000, and none is written.
+	PeerPrice float64
 }
 
 // HollowResult is what a run came to. Figures are a dispatcher's unless said; one that was not measured is not there.
@@ -92,7 +96,6 @@
 var ErrHollowMemory = errors.New("too little memory")
 
 const (
-	hollowWarm     = 6 * time.Second // before the span
 	hollowEnd      = 8 * time.Second // after it, at the most: until every call has ended
 	hollowUse      = 0.4             // of its cores, what an executor's share of the calls takes
 	hollowCopies   = 4.8             // instances a function, 230,000 of 48,000 as planned: an executor's memory is sized by it
@@ -248,7 +251,7 @@
 	samples                  []metrics.Sample
 }
 
-// message tells what a text is.
+// note tells what a text is.
 type note struct{ digest, report bool }
 
 // HollowRun runs hollow dispatchers in virtual time; one run at a time in a process, for it holds off the collector. Before
@@ -262,11 +265,15 @@
 	defer runtime.UnlockOSThread()
 	defer debug.SetGCPercent(debug.SetGCPercent(-1))
 	runtime.GC()
-	h, err := newHollow(size, seed)
+	h, err := newHollow(ctx, size, seed)
 	if err != nil {
 		return nil, err
 	}
-	h.err = ctx.Err()
+	return h.run(ctx)
+}
+
+// run plays warm-up, span and end, and takes the figures.
+func (h *hollowWorld) run(ctx context.Context) (*HollowResult, error) {
 	for _, until := range []time.Time{h.from, h.until} {
 		if until.Equal(h.until) {
 			h.begin()
@@ -302,6 +309,9 @@
 	case s.Fault != "" && !slices.Contains(HollowFaults(), s.Fault):
 		return fmt.Errorf("hollow run: no fault %q; there are %q", s.Fault, HollowFaults())
 	}
+	if s.Warm <= 0 {
+		s.Warm = fleetWarm
+	}
 	if s.Memory == 0 {
 		all, err := machineMemory()
 		if err != nil {
@@ -321,13 +331,14 @@
 
 func gigabytes(n uint64) string { return fmt.Sprintf("%.2f GB", float64(n)/1e9) }
 
-// needs estimates the bytes that a run takes, garbage with it, by slopes measured on small runs: the lists and tables of each
-// dispatcher, what it believes of functions, and the calls under way.
+// needs estimates the bytes that a run takes, garbage with it, by slopes measured on small runs: of each dispatcher its list,
+// its rows of the others and what it believes of functions, its own calls' and what it is told; what collectors hold of all;
+// calls under way; the emulated world. It is a guess: guard watches the run itself.
 func (s *HollowSize) needs() uint64 {
-	d, e := float64(s.Dispatchers), float64(s.Executors)
-	known := min(float64(s.Functions), s.Calls*(hollowWarm+s.Span).Seconds())
-	live := d*(30e3+1200*e+150*d+400*known) + d*s.Calls*3000 + 50e6
-	return uint64(1.6 * live)
+	d, e, long := float64(s.Dispatchers), float64(s.Executors), (s.Warm + s.Span).Seconds()
+	known := min(float64(s.Functions), s.Calls*long+2*long*(3+e/8))
+	each := 30e3 + 1200*e + 150*d + 250*known + 3000*s.Calls
+	return uint64(1.5*(d*each+long*e*d*10) + 100e6)
 }
 
 // machineMemory is the machine's, in bytes.
@@ -369,17 +380,19 @@
 	return f
 }
 
-func newHollow(size HollowSize, seed uint64) (*hollowWorld, error) {
+// newHollow lays out the world of a run; ctx ends that early.
+func newHollow(ctx context.Context, size HollowSize, seed uint64) (*hollowWorld, error) {
 	w := &simWorld{f: hollowFigures(size), byID: map[decide.WorkerID]*simBox{}, popular: newZipf(size.Functions, size.Zipf), messages: true,
 		lost: size.Lost, lossy: rand.New(rand.NewPCG(seed, 3)), load: Load{Rate: size.Calls, Models: size.Functions, Zipf: size.Zipf, Retries: 2}}
 	w.now = time.Unix(1_800_000_000, 0)
 	w.began = w.now
-	h := &hollowWorld{simWorld: w, size: size, seed: seed, rng: rand.New(rand.NewPCG(seed, 4)), from: w.now.Add(hollowWarm),
+	h := &hollowWorld{simWorld: w, size: size, seed: seed, rng: rand.New(rand.NewPCG(seed, 4)), from: w.now.Add(size.Warm),
 		told: map[int64]int{}, terms: make([]int64, size.Dispatchers), meter: newMeter(size.Dispatchers),
 		samples: []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}}
 	h.until = h.from.Add(size.Span)
 	h.term = 2 * int64(w.f.Classes[0].Aim)
 	w.hollow = h
+	w.price = size.PeerPrice
 	for i := range size.Executors {
 		x := w.add(i, w.began.Add(-time.Hour))
 		x.zone = i % 10
@@ -389,10 +402,15 @@
 	w.nodes = make([]*simNode, size.Dispatchers)
 	for n := range w.nodes {
 		h.delay = append(h.delay, time.Duration(mix64(seed<<20^uint64(n))%uint64(fleetTold)))
-		if err := h.start(n); err != nil {
+		if err := errors.Join(ctx.Err(), h.start(n)); err != nil {
 			return nil, err
 		}
-		h.collect()
+		if h.collect() {
+			h.guard()
+		}
+		if h.err != nil {
+			return nil, h.err
+		}
 	}
 	if size.Calls > 0 {
 		for n := range w.nodes {
@@ -424,10 +442,7 @@
 func (h *hollowWorld) play(ctx context.Context, until time.Time) {
 	for i := 0; h.err == nil; i++ {
 		if i%hollowLook == 0 {
-			if h.err = ctx.Err(); h.err == nil && h.collect() {
-				h.guard()
-			}
-			if i%(16*hollowLook) == 0 {
+			if h.err = ctx.Err(); h.collect() || i%(16*hollowLook) == 0 {
 				h.guard()
 			}
 			if h.err != nil {
@@ -568,7 +583,7 @@
 	middle := h.from.Add(span / 2)
 	switch h.size.Fault {
 	case FaultOneDown:
-		h.at(h.from.Add(-hollowWarm/3), func() { h.kill(d / 2) })
+		h.at(h.from.Add(-h.size.Warm/3), func() { h.kill(d / 2) })
 	case FaultRestarts:
 		count := max(1, d/19)
 		for at := range ticks(h.from, h.until, float64(count)/span.Seconds()) {
--- a/internal/lab/hollow_test.go
+++ b/internal/lab/hollow_test.go
@@ -54,6 +54,48 @@
 	}
 }
 
+// The meter's counts are those of the world: messages and bytes as they were delivered, calls as clients sent them, loads as
+// the executors began them.
+func TestHollowMeterAddsUp(t *testing.T) {
+	size := smallHollow()
+	size.ListEvents = 0 // an executor that comes back is a new one, and has forgotten what it loaded
+	require.NoError(t, size.check())
+	h, err := newHollow(t.Context(), size, 4)
+	require.NoError(t, err)
+	h.from = h.began // all is counted
+	h.begin()
+	h.play(t.Context(), h.until.Add(6*time.Second))
+	m := &h.meter
+	out := m.sums[2]
+	h.mute = true // what is under way arrives
+	h.play(t.Context(), h.now.Add(2*peerWay))
+	require.NoError(t, h.err)
+	assert.Equal(t, h.delivered, m.sums[0])
+	assert.Equal(t, out, m.sums[0])
+	assert.Equal(t, m.counts[partRead], m.sums[1])
+	loads, served, sent := 0, 0, 0
+	for _, x := range h.boxes {
+		for _, n := range x.box.loads {
+			loads += n
+		}
+	}
+	for _, n := range h.goods {
+		served += n
+	}
+	for _, n := range h.sends {
+		sent += n
+	}
+	assert.Equal(t, h.calls-h.bad, served)
+	assert.Zero(t, h.begun)
+	assert.GreaterOrEqual(t, m.counts[partChoice], h.calls+sent, "a request and an outcome for each, and loads")
+	assert.Equal(t, loads, h.loads)
+	assert.Greater(t, loads, 0)
+	r := &HollowResult{Figures: map[string]float64{}}
+	h.figures(r)
+	assert.Greater(t, r.Figures["collector.in.busiest"], r.Figures["bytes.in"])
+	assert.GreaterOrEqual(t, r.Figures["bytes.in.busiest"], r.Figures["collector.in.busiest"])
+}
+
 func TestHollowRefuses(t *testing.T) {
 	size := smallHollow()
 	size.Memory = 10 << 20
@@ -65,7 +107,43 @@
 		_, err := HollowRun(t.Context(), bad, 1)
 		assert.Error(t, err, fmt.Sprint(bad))
 	}
-	r, err := HollowRun(canceled(t), smallHollow(), 1)
+}
+
+// A run that is broken off keeps what it has, marked; one that takes too much memory says so in one line.
+func TestHollowPartial(t *testing.T) {
+	size := smallHollow()
+	require.NoError(t, size.check())
+	h, err := newHollow(t.Context(), size, 1)
+	require.NoError(t, err)
+	h.size.Memory = 1 << 20
+	r, err := h.run(t.Context())
+	require.ErrorIs(t, err, ErrHollowMemory)
+	assert.Equal(t, err.Error(), r.Partial)
+	assert.Contains(t, r.Partial, "12 dispatchers, 20 executors, 100 functions")
+	assert.Contains(t, r.Partial, "and may take 0.00 GB")
+
+	_, err = HollowRun(canceled(t), smallHollow(), 1)
 	require.ErrorIs(t, err, context.Canceled)
+	ctx, stop := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer stop()
+	size.Span = 24 * time.Hour
+	r, err = HollowRun(ctx, size, 1)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.NotEmpty(t, r.Partial)
+	assert.Contains(t, r.Figures, "calls")
+}
+
+// States a fault of today: with one dispatcher of 1,000 missing a digest is too long for the channel, and none is told. At
+// 300 all fit.
+func TestHollowDigestsOutgrowTheChannel(t *testing.T) {
+	size := HollowSize{Dispatchers: 300, Executors: 10, Functions: 20, Calls: 2, Warm: 2400 * time.Millisecond, Span: 1600 * time.Millisecond, Fault: FaultOneDown}
+	r, err := HollowRun(t.Context(), size, 1)
+	require.NoError(t, err)
+	assert.Zero(t, r.Figures["texts.oversize"])
+	assert.Greater(t, r.Figures["digests"], 0.5)
+	size.Dispatchers = 1000
+	r, err = HollowRun(t.Context(), size, 1)
+	require.NoError(t, err)
+	assert.Greater(t, r.Figures["texts.oversize"], 0.0)
+	assert.Less(t, r.Figures["digests"], 0.5)
 }
--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -121,6 +121,7 @@
 	messages  bool // between dispatchers, lost now and then
 	lossy     *rand.Rand
 	lost      float64 // part of the messages that never come
+	price     float64 // of a message
 	delivered int     // bytes of messages
 	oversize  int     // messages that are too long
 	unreached int     // attempts whose connection never came up
@@ -213,7 +214,7 @@
 	s.list = roster.New(roster.Config{Seed: seed + uint64(n), Siblings: len(w.nodes), MaxWait: 1500 * time.Millisecond, Fresh: fresh})
 	var err error
 	set := w.f.settings(n, len(w.nodes))
-	set.Peers, set.PeerPrice = w.messages, peerPrice
+	set.Peers, set.PeerPrice = w.messages, w.price
 	s.d, err = decide.New(w.now.UnixNano(), set, seed^uint64(n)*0x9e3779b9, s)
 	return s, err
 }
@@ -596,7 +597,7 @@
 
 // keptSim restarts a whole fleet in virtual time: warm up, replace four boxes in ten, crash, restart within a second.
 func keptSim(f *Figures, dispatchers, boxes int, rate float64, fresh bool, seed uint64) (*keptSimResult, error) {
-	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4),
+	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4), price: peerPrice,
 		load: Load{Rate: rate / float64(dispatchers), Models: 8 * boxes, Zipf: 0.4, Turn: 12 * time.Second, Retries: 2}}
 	w.now = time.Unix(1_800_000_000, 0)
 	began := w.now
