Core and hollow host play the same events and act alike, to the nanosecond

Scale tests stand on dispatchers in virtual time. A test plays one script to oakthread.Core in a synctest bubble and to simNode before one world, and compares sends, cancels, refusals, failures, loads, drops, messages and log lines with their times.

--- /dev/null
+++ b/internal/lab/calibrate_test.go
@@ -0,0 +1,866 @@
+package lab
+
+// This file owns the comparison of the two hosts of the decision module: the core of the real program, on the fake clock of
+// a bubble of package synctest, and the dispatcher in virtual time. Both stand before the same world, engine and boxes of
+// virtual time, and both arms must order the same at the same nanosecond. What differs by design is forced by tests of its
+// own and asserted; the comparison must never skip over it. Not played, for the hollow host has none of it: callers that leave,
+// the cap on open calls, tenants, and the ramp after a start from a kept list.
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread"
+	"oakthread/decide"
+	"oakthread/internal/kept"
+	"oakthread/roster"
+)
+
+// bubbleStart is where the clock of every bubble begins, as package synctest has it.
+var bubbleStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// action is one order of the module, or the end of a call, as the host carried it out.
+type action struct {
+	at   time.Duration // since the start of the run
+	text string
+}
+
+func (a action) String() string { return fmt.Sprintf("%v %s", a.at, a.text) }
+
+// kind is the first word.
+func (a action) kind() string { k, _, _ := strings.Cut(a.text, " "); return k }
+
+// play is one scripted run before a host: dispatcher 0 of the world. The zero values of its switches are the main comparison.
+type play struct {
+	seed     uint64
+	settings func(*decide.Settings)
+	asked    int           // calls at dispatcher 0; 0: 240
+	span     time.Duration // of their arrivals; 0: 12 s
+	steady   bool          // no troubles
+	script   func(*stage)  // more events; nil: none
+
+	// What forces a difference that is by design.
+	listAt    time.Duration // when the list is first told
+	handshake bool          // the real host's connections come up within the way to the box, and only then may a call be written
+	stall     time.Duration // the core's loop stands still for so long, at its 100th call
+	keeps     bool          // the hollow host leaves what is called off to land, as it does by itself
+
+	// What a comparison must find.
+	offset time.Duration // of the hollow host's clock
+	lose   string        // an event that does not come: "call", "list" or "message", and at the real host "answer"
+}
+
+// stage is a world with the host in dispatcher 0's place.
+type stage struct {
+	*simWorld
+	play
+	began   time.Time
+	host    stageHost
+	actions []action
+	calls0  []*simCall // of dispatcher 0
+	lost    bool
+}
+
+// stageHost is dispatcher 0, real or hollow.
+type stageHost interface {
+	told(u roster.Update)
+	heard(from int, data string)
+	arrive(c *simCall)
+	configure(k decide.Class, attempts int)
+}
+
+const (
+	stageNodes, stageBoxes = 4, 6
+	stageRate              = 20 // calls a second at each
+	stageEnd               = 8 * time.Second
+	// stageApart is by how much later each next of the others is told of the list, so that no two dispatchers' rounds fall
+	// on one moment: what the world does then would hang on the order of goroutines.
+	stageApart = 1234567 * time.Nanosecond
+)
+
+func (s *stage) did(format string, args ...any) {
+	s.actions = append(s.actions, action{s.now.Sub(s.began), fmt.Sprintf(format, args...)})
+}
+
+// loses tells whether this event is the one that does not come: the first of its kind in the second half of the calls' span; of
+// messages, of which each alone may change nothing, all of a second.
+func (s *stage) loses(kind string) bool {
+	at := s.now.Sub(s.began)
+	if s.lose != kind || at < s.span/2 {
+		return false
+	}
+	if kind == "message" {
+		return at < s.span/2+time.Second
+	}
+	was := s.lost
+	s.lost = true
+	return !was
+}
+
+// peerNode is one of the other dispatchers, in virtual time in both arms; its messages go by the stage's ways.
+type peerNode struct {
+	*simNode
+	s *stage
+}
+
+func (p peerNode) Tell(to int, data string) { p.s.carry(p.n, to, data) }
+
+// carry takes a message to one or all; about three in a hundred are lost, which ones follows from what they say.
+func (s *stage) carry(from, to int, data string) {
+	for n := range s.nodes {
+		h := fnv.New32a()
+		fmt.Fprint(h, from, n, data)
+		if n == from || to >= 0 && n != to || h.Sum32()%32 == 0 {
+			continue
+		}
+		s.after(peerWay+time.Duration(from*stageNodes+n), func() {
+			if n > 0 {
+				s.nodes[n].d.Peer(s.now.UnixNano(), from, data)
+			} else if !s.loses("message") {
+				s.host.heard(from, data)
+			}
+		})
+	}
+}
+
+// newStage lays out the world: six small boxes, dispatcher 0 and three others, calls at all, and the troubles.
+func newStage(t *testing.T, p play, start time.Time) *stage {
+	t.Helper()
+	if p.asked == 0 {
+		p.asked = 240
+	}
+	if p.span == 0 {
+		p.span = 12 * time.Second
+	}
+	f := fleetFigures()
+	f.Box.Warm, f.Box.Keep = 4*time.Second, 3*time.Second
+	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(40, 0.4), messages: true,
+		lossy: rand.New(rand.NewPCG(p.seed, 3)), load: Load{Rate: stageRate, Models: 40, Zipf: 0.4}}
+	w.now, w.began = start, start
+	s := &stage{simWorld: w, play: p, began: start}
+	for i := range stageBoxes {
+		x := w.add(i, start.Add(-time.Hour))
+		x.zone = i % 2
+		w.listed = append(w.listed, roster.Box{ID: x.id, Zone: x.zone, State: decide.On, Weight: 2, Start: start.Add(-time.Hour)})
+	}
+	w.nodes = make([]*simNode, stageNodes)
+	for n := range w.nodes {
+		var err error
+		w.nodes[n], err = w.node(n, p.seed, false)
+		require.NoError(t, err)
+		if n > 0 {
+			w.nodes[n].d, err = decide.New(w.now.UnixNano(), s.settingsOf(n), s.seedOf(n), peerNode{w.nodes[n], s})
+			require.NoError(t, err)
+		}
+	}
+	return s
+}
+
+func (s *stage) settingsOf(n int) decide.Settings {
+	set := s.f.settings(n, stageNodes)
+	set.Peers, set.PeerPrice = true, peerPrice
+	set.LoadFree = 1e6 // the core's second look at orders must not strike: it has a test of its own
+	if s.settings != nil {
+		s.settings(&set)
+	}
+	return set
+}
+
+func (s *stage) seedOf(n int) uint64 { return s.seed ^ uint64(n)*0x9e3779b9 }
+
+// tell has all dispatchers told of the list: whole, or of those boxes alone.
+func (s *stage) tell(which ...int) {
+	s.cursor++
+	u := roster.Update{Full: len(which) == 0, Cursor: s.cursor}
+	for i, b := range s.listed {
+		if u.Full || slices.Contains(which, i) {
+			u.Boxes = append(u.Boxes, b)
+		}
+	}
+	for i, x := range s.nodes[1:] {
+		s.after(time.Duration(i+1)*stageApart, func() {
+			x.list.Told(s.now, u)
+			x.flush()
+		})
+	}
+	if s.cursor == 1 || !s.loses("list") {
+		s.host.told(u)
+	}
+}
+
+// lay puts the events in the queue: those of a host that stands.
+func (s *stage) lay() {
+	if s.listAt == 0 {
+		s.tell()
+	} else {
+		s.after(s.listAt, func() { s.tell() })
+	}
+	rng := rand.New(rand.NewPCG(s.seed, 0xca11))
+	for n := range s.nodes {
+		if n > 0 {
+			s.arrivals(n, rand.New(rand.NewPCG(s.seed, uint64(n)<<8)), 0, s.began.Add(s.span))
+		}
+	}
+	at := time.Duration(0)
+	for i := range s.asked {
+		at += time.Duration(rng.ExpFloat64() * float64(s.span) / float64(s.asked))
+		u, class := rng.Float64(), 0
+		for u -= s.f.Classes[0].Share; u >= 0 && class < len(s.f.Classes)-1; {
+			class++
+			u -= s.f.Classes[class].Share
+		}
+		c := &simCall{class: class, model: s.load.model(s.popular.draw(rng.Float64()), s.began), intended: s.began.Add(at), name: fmt.Sprintf("0.%03d", i)}
+		s.calls0 = append(s.calls0, c)
+		s.at(c.intended, func() {
+			if !s.loses("call") {
+				s.host.arrive(c)
+			}
+		})
+	}
+	if s.script != nil {
+		s.script(s)
+	}
+	if s.steady {
+		return
+	}
+	odd := func(part float64) time.Time { // no two events of a run at one moment
+		return s.began.Add(time.Duration(part*float64(s.span)) + time.Duration(rng.IntN(1e6)))
+	}
+	s.at(odd(0.15), func() { s.boxes[1].failing = true })
+	s.at(odd(0.25), func() { s.boxes[1].failing = false })
+	s.at(odd(0.30), func() { s.unheard = 0.05 })
+	s.at(odd(0.40), func() { s.unheard = 0 })
+	s.at(odd(0.42), func() { s.boxes[2].fate = vanishes })
+	s.at(odd(0.48), func() { s.boxes[2].fate = stays })
+	s.at(odd(0.50), func() { s.boxes[3].fate = refuses })
+	s.at(odd(0.55), func() { s.boxes[3].fate = cutOff })
+	s.at(odd(0.60), func() { s.boxes[3].fate = stays })
+	s.at(odd(0.62), func() { // the box drains first, and is told of late
+		s.boxes[4].box.Drain()
+	})
+	s.at(odd(0.66), func() {
+		s.boxes[4].drained = s.now
+		s.listed[4].State = decide.Draining
+		s.tell(4)
+	})
+	s.at(odd(0.70), func() { // it stands anew
+		s.boxes[4].box, s.boxes[4].drained = NewBox(s.f.Box, s.now), time.Time{}
+		s.listed[4].State, s.listed[4].Start = decide.On, s.now
+		s.tell(4)
+	})
+	s.at(odd(0.75), func() { s.listed[0].Weight = 1; s.tell(0) })
+	s.at(odd(0.80), func() { s.listed[5].State = decide.Off; s.tell(5) })
+	s.at(odd(0.82), func() { // a shorter aim than any: all rounds grow shorter
+		s.host.configure(decide.Class{Aim: int64(300 * time.Millisecond), GiveUp: int64(5 * time.Second), Worth: 1, Effect: decide.Safe}, 3)
+	})
+	s.at(odd(0.85), func() { s.listed[5].State = decide.On; s.tell() })
+}
+
+// ---- The hollow host.
+
+// hollowHost is the dispatcher in virtual time, with an ear at what the module orders.
+type hollowHost struct {
+	*simNode
+	s     *stage
+	opens map[string]*simOpen
+	sent  map[string]time.Time
+	on    map[string]decide.WorkerID
+}
+
+func playHollow(t *testing.T, p play) *stage {
+	t.Helper()
+	s := newStage(t, p, bubbleStart.Add(p.offset))
+	h := &hollowHost{simNode: s.nodes[0], s: s, opens: map[string]*simOpen{}, sent: map[string]time.Time{}, on: map[string]decide.WorkerID{}}
+	var err error
+	h.d, err = decide.New(s.now.UnixNano(), s.settingsOf(0), s.seedOf(0), h)
+	require.NoError(t, err)
+	s.host = h
+	s.lay()
+	s.run(s.began.Add(s.span + stageEnd))
+	assert.Empty(t, h.open, "calls without an end")
+	return s
+}
+
+func (h *hollowHost) told(u roster.Update) {
+	h.list.Told(h.s.now, u)
+	h.flush()
+}
+
+func (h *hollowHost) heard(from int, data string) { h.d.Peer(h.s.now.UnixNano(), from, data) }
+func (h *hollowHost) arrive(c *simCall)           { h.simNode.arrive(c) }
+
+func (h *hollowHost) configure(k decide.Class, attempts int) {
+	_, err := h.d.AddClasses(h.s.now.UnixNano(), []decide.Class{k})
+	h.s.did("configure %v", err)
+	h.d.SetMaxAttempts(h.s.now.UnixNano(), attempts)
+}
+
+func (h *hollowHost) Send(id string, w decide.WorkerID, until int64) {
+	o := h.open[id]
+	h.s.did("send %s #%d to %d", id, o.tries, w)
+	h.opens[id] = o
+	key := fmt.Sprint(id, "#", o.tries)
+	h.sent[key], h.on[key] = h.s.now, w
+	h.simNode.Send(id, w, until)
+}
+
+// Cancel ends the attempt, as the core does. The hollow host itself leaves it to land: TestHollowLeavesWhatIsCalledOff.
+func (h *hollowHost) Cancel(id string, attempt int) {
+	h.s.did("cancel %s #%d", id, attempt)
+	h.simNode.Cancel(id, attempt)
+	fl, key := h.opens[id].flights[attempt], fmt.Sprint(id, "#", attempt)
+	if h.s.keeps || fl.over {
+		return
+	}
+	fl.over = true
+	h.s.after(0, func() {
+		h.d.Outcome(h.s.now.UnixNano(), decide.Outcome{ID: id, Attempt: attempt, Worker: h.on[key], Result: decide.Cancelled,
+			Finished: h.open[id] == nil, RTT: int64(h.s.now.Sub(h.sent[key]))})
+	})
+}
+
+func (h *hollowHost) Refuse(id string, wait int64) {
+	h.s.did("refuse %s, come back in %v", id, time.Duration(wait))
+	h.simNode.Refuse(id, wait)
+}
+
+func (h *hollowHost) Fail(id string) {
+	h.s.did("fail %s", id)
+	h.simNode.Fail(id)
+}
+
+func (h *hollowHost) Load(w decide.WorkerID, f decide.FuncID, n int) {
+	h.s.did("load %d of %x at %d", n, f, w)
+	h.simNode.Load(w, f, n)
+}
+
+func (h *hollowHost) Drop(w decide.WorkerID, f decide.FuncID) {
+	h.s.did("drop %x at %d", f, w)
+	h.simNode.Drop(w, f)
+}
+
+func (h *hollowHost) Tell(to int, data string) {
+	h.s.did("tell %d %s", to, data)
+	h.s.carry(0, to, data)
+}
+
+func (h *hollowHost) Log(text string) { h.s.did("log %s", text) }
+
+// ---- The real host.
+
+// realHost is oakthread.Core, with the list that package kept keeps, before carriers that lead into the world.
+type realHost struct {
+	s      *stage
+	core   *oakthread.Core
+	keeper *kept.Keeper
+	stub   *simNode // dispatcher 0's place in the world: it only remembers which drains it was told of
+	wait   sync.WaitGroup
+
+	mu    sync.Mutex
+	inbox []order
+	seq   int
+	calls map[string]*simCall
+	kick  chan struct{}
+}
+
+// order is something that the core wants done, to be taken in by the world's goroutine. Of what the core begins at one
+// moment, each on a goroutine of its own, the world takes calls' attempts by the calls' numbers, then the rest as they came.
+type order struct {
+	rank, seq int
+	do        func()
+}
+
+// playReal runs the same before the real host. It must be called in a bubble.
+func playReal(t *testing.T, p play, look func(h *realHost)) *stage {
+	t.Helper()
+	s := newStage(t, p, time.Now())
+	require.Equal(t, bubbleStart, s.began.UTC())
+	h := &realHost{s: s, stub: s.nodes[0], calls: map[string]*simCall{}, kick: make(chan struct{}, 1)}
+	h.stub.dead = true
+	quiet := slog.New(slog.DiscardHandler)
+	h.keeper = kept.NewKeeper(kept.Options{Roster: roster.Config{Seed: s.seed, Siblings: stageNodes, MaxWait: 1500 * time.Millisecond}, Util: 2,
+		Aims: s.f.aims()}, h, func(r oakthread.Roster) { h.core.Roster(r) }, s.now, quiet)
+	var err error
+	h.core, err = oakthread.New(oakthread.Config{Settings: s.settingsOf(0), Seed: s.seedOf(0), Workers: h, Peers: h, Settled: h.settled,
+		Admit: h.admit, Observed: h.keeper.Observe, Log: slog.New(&ear{h})})
+	require.NoError(t, err)
+	s.host = h
+	ctx, stop := context.WithCancel(t.Context())
+	h.wait.Go(func() { h.keeper.Run(ctx) })
+	s.lay()
+	h.run(s.began.Add(s.span + stageEnd))
+	if look != nil {
+		look(h)
+	}
+	n := h.core.Counters()
+	assert.Equal(t, n.Taken, n.Served+n.Refused+n.Failed+n.TimedOut, "calls without an end")
+	stop()
+	h.core.Close()
+	h.wait.Wait()
+	return s
+}
+
+func (f *Figures) aims() (out []time.Duration) {
+	for _, c := range f.Classes {
+		out = append(out, c.Aim)
+	}
+	return out
+}
+
+// run is the engine's, on the bubble's clock: after each event all goroutines come to rest, and what the core wants is taken in.
+func (h *realHost) run(until time.Time) {
+	for {
+		synctest.Wait()
+		h.s.now = time.Now()
+		h.mu.Lock()
+		in := h.inbox
+		h.inbox = nil
+		h.mu.Unlock()
+		slices.SortStableFunc(in, func(a, b order) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.seq, b.seq)) })
+		for _, o := range in {
+			o.do()
+		}
+		if len(in) > 0 {
+			continue
+		}
+		if len(h.s.queue) > 0 && h.s.queue[0].at <= h.s.now.UnixNano() {
+			h.s.pop().do()
+			continue
+		}
+		if !h.s.now.Before(until) {
+			return
+		}
+		// The core's own timers ring meanwhile: the world looks whenever it may have been told something.
+		next := until
+		if len(h.s.queue) > 0 && h.s.queue[0].at < until.UnixNano() {
+			next = time.Unix(0, h.s.queue[0].at)
+		}
+		t := time.NewTimer(time.Until(next))
+		select {
+		case <-t.C:
+		case <-h.kick:
+		}
+		t.Stop()
+	}
+}
+
+const rankRest = 1 << 30
+
+// put hands the world's goroutine an order of the core's, with the time as it is.
+func (h *realHost) put(rank int, do func()) {
+	h.mu.Lock()
+	h.seq++
+	h.inbox = append(h.inbox, order{rank, h.seq, do})
+	h.mu.Unlock()
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (h *realHost) did(format string, args ...any) {
+	h.put(rankRest, func() { h.s.did(format, args...) })
+}
+
+func (h *realHost) told(u roster.Update) {
+	r := oakthread.Roster{Kind: decide.RosterDelta}
+	if u.Full {
+		r.Kind = decide.RosterFull
+	}
+	for _, b := range u.Boxes {
+		r.Members = append(r.Members, kept.Member(b))
+	}
+	h.keeper.Told(r, "", u.Cursor)
+}
+
+func (h *realHost) configure(k decide.Class, attempts int) {
+	_, err := h.core.AddClasses([]decide.Class{k})
+	h.s.did("configure %v", err)
+	h.core.SetMaxAttempts(attempts)
+}
+
+func (h *realHost) admit(q *oakthread.Request) (time.Duration, bool) {
+	if h.s.stall > 0 && q.ID == "0.100.0" {
+		time.Sleep(h.s.stall)
+	}
+	return h.keeper.Admit(q)
+}
+
+func (h *realHost) heard(from int, data string) { h.core.Heard(from, data) }
+
+func (h *realHost) arrive(c *simCall) {
+	id := c.name + ".0"
+	h.mu.Lock()
+	h.calls[id] = c
+	h.mu.Unlock()
+	q := oakthread.Request{ID: id, Class: c.class, Tenant: -1, Func: decide.FuncID(c.model), Key: fmt.Sprintf("%016x", c.model),
+		Deadline: c.intended.Add(h.s.f.Classes[c.class].GiveUp - 200*time.Millisecond), MemoryMB: 4000, Lanes: h.s.f.Lanes, LoadTime: h.s.f.Load}
+	h.wait.Go(func() {
+		a, err := h.core.Do(context.Background(), q)
+		c.served, c.ended = err == nil && a.Outcome == oakthread.Served, time.Now()
+	})
+}
+
+// settled tells of the ends that the module ordered.
+func (h *realHost) settled(x oakthread.Settlement) {
+	switch x.Answer.Outcome {
+	case oakthread.Refused:
+		h.did("refuse %s, come back in %v", x.Request.ID, x.Answer.Wait)
+	case oakthread.Failed, oakthread.TimedOut:
+		h.did("fail %s", x.Request.ID)
+	}
+}
+
+func (h *realHost) Send(ctx context.Context, a oakthread.Attempt) oakthread.Reply {
+	h.mu.Lock()
+	c, got := h.calls[a.Request.ID], make(chan oakthread.Reply, 1)
+	h.mu.Unlock()
+	number := 0
+	_, _ = fmt.Sscanf(c.name, "0.%d", &number)
+	h.put(8*number+a.N, func() {
+		h.s.did("send %s #%d to %d", a.Request.ID, a.N, a.Worker.ID)
+		h.depart(c, a, got)
+	})
+	select {
+	case r := <-got:
+		return r
+	case <-ctx.Done():
+	}
+	switch context.Cause(ctx).Error() {
+	case "called off":
+		h.did("cancel %s #%d", a.Request.ID, a.N)
+	case "revoked before anything was written":
+		return oakthread.Reply{Result: decide.Moot}
+	}
+	return oakthread.Reply{Result: decide.Timeout}
+}
+
+// depart is what an attempt meets on its way, as simNode.Send has it.
+func (h *realHost) depart(c *simCall, a oakthread.Attempt, got chan<- oakthread.Reply) {
+	w, x := h.s.simWorld, h.s.byID[a.Worker.ID]
+	land := func(r decide.Result, warm decide.Warmth, crowd int, rep []float64) {
+		if h.s.loses("answer") {
+			return
+		}
+		got <- oakthread.Reply{Result: r, Warmth: warm, Crowd: crowd, Report: rep}
+	}
+	lands := func(after time.Duration, r decide.Result) { w.after(after, func() { land(r, 0, 0, nil) }) }
+	switch {
+	case !h.s.handshake && !a.Begin():
+		land(decide.Moot, 0, 0, nil)
+	case x.fate == refuses || x.fate == reused:
+		lands(2*simWay, decide.ConnectFailed)
+	case x.fate == vanishes:
+	case !w.reaches(h.stub, x):
+		lands(simProbe, decide.ConnectFailed)
+	default:
+		w.after(simWay, func() {
+			if h.s.handshake && !a.Begin() {
+				land(decide.Moot, 0, 0, nil)
+				return
+			}
+			w.reach(h.stub, x, a.Request.ID, &simOpen{call: c}, land)
+		})
+	}
+}
+
+func (h *realHost) Load(ctx context.Context, o oakthread.Order) oakthread.Reply {
+	got := make(chan oakthread.Reply, 1)
+	h.put(rankRest, func() {
+		h.s.did("load %d of %x at %d", o.Count, o.Func, o.Worker.ID)
+		w, x := h.s.simWorld, h.s.byID[o.Worker.ID]
+		loaded := func(after time.Duration, n int, r decide.Result) {
+			w.after(after, func() { got <- oakthread.Reply{Result: r, Copies: n} })
+		}
+		if !o.Begin() || x.fate != stays && x.fate != drains || !w.reaches(h.stub, x) {
+			loaded(2*simWay, 0, decide.ConnectFailed)
+			return
+		}
+		w.after(simWay, func() {
+			j := &Job{Model: uint64(o.Func), Load: w.f.Load, Lanes: w.f.Lanes, Order: true}
+			j.Data = func() { loaded(simWay, 1, decide.OK) }
+			if x.box.Arrive(w.now, j) != Taken {
+				loaded(simWay, 0, decide.Full)
+				return
+			}
+			w.advance(x)
+		})
+	})
+	select {
+	case r := <-got:
+		return r
+	case <-ctx.Done():
+		return oakthread.Reply{Result: decide.Timeout}
+	}
+}
+
+func (h *realHost) Drop(_ context.Context, o oakthread.Order) {
+	h.put(rankRest, func() {
+		h.s.did("drop %x at %d", o.Func, o.Worker.ID)
+		h.s.byID[o.Worker.ID].box.Unload(uint64(o.Func))
+	})
+}
+
+func (h *realHost) Probe(_ context.Context, m oakthread.Member) oakthread.Reply {
+	h.did("probe %d", m.ID)
+	return oakthread.Reply{Result: decide.Timeout}
+}
+
+func (h *realHost) Forget(decide.WorkerID) {}
+
+func (h *realHost) Tell(to int, data string) {
+	h.put(rankRest, func() {
+		h.s.did("tell %d %s", to, data)
+		h.s.carry(0, to, data)
+	})
+}
+
+func (h *realHost) Listen(ctx context.Context, _ func(int, string)) error { <-ctx.Done(); return nil }
+
+// ear hears what the core logs: the module's own lines, which carry no figures, and errors.
+type ear struct{ h *realHost }
+
+func (e *ear) Enabled(_ context.Context, l slog.Level) bool { return l >= slog.LevelInfo }
+func (e *ear) WithAttrs([]slog.Attr) slog.Handler           { return e }
+func (e *ear) WithGroup(string) slog.Handler                { return e }
+func (e *ear) Handle(_ context.Context, r slog.Record) error {
+	e.h.did("log %s", r.Message)
+	return nil
+}
+
+// ---- The comparison.
+
+// sorted puts what was done at one moment in an order of its own: the core carries out each action on a goroutine of its own.
+func sorted(as []action) []action {
+	out := slices.Clone(as)
+	slices.SortStableFunc(out, func(a, b action) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.text, b.text)) })
+	return out
+}
+
+// firstApart is the first place where two runs differ; "": nowhere.
+func firstApart(real, hollow []action) string {
+	real, hollow = sorted(real), sorted(hollow)
+	for i := range max(len(real), len(hollow)) {
+		a, b := action{text: "nothing"}, action{text: "nothing"}
+		if i < len(real) {
+			a = real[i]
+		}
+		if i < len(hollow) {
+			b = hollow[i]
+		}
+		if a != b {
+			return fmt.Sprintf("action %d of %d: real %s, hollow %s", i, max(len(real), len(hollow)), a, b)
+		}
+	}
+	return ""
+}
+
+// callsApart is the first call whose end differs.
+func callsApart(real, hollow *stage) string {
+	for i, c := range real.calls0 {
+		x := hollow.calls0[i]
+		if c.served != x.served || c.ended.Sub(real.began) != x.ended.Sub(hollow.began) {
+			return fmt.Sprintf("call %s: real served %v after %v, hollow %v after %v", c.name, c.served, c.ended.Sub(c.intended), x.served, x.ended.Sub(x.intended))
+		}
+	}
+	return ""
+}
+
+func kinds(as []action) map[string]int {
+	n := map[string]int{}
+	for _, a := range as {
+		n[a.kind()]++
+	}
+	return n
+}
+
+// playBoth plays one script before both hosts.
+func playBoth(t *testing.T, p play, look func(*realHost)) (real, hollow *stage) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { real = playReal(t, p, look) })
+	return real, playHollow(t, p)
+}
+
+// Guards against a hollow dispatcher that stands for nothing: whatever the module orders, both hosts do at the same time.
+func TestHostsActAlike(t *testing.T) {
+	total := map[string]int{}
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			real, hollow := playBoth(t, play{seed: seed}, func(h *realHost) {
+				n := h.core.Counters()
+				assert.Zero(t, n.OrdersHeld, "the core's second look struck")
+				assert.Zero(t, n.TurnedAway+n.HeldOff+n.Abandoned+n.Unread)
+			})
+			assert.Empty(t, firstApart(real.actions, hollow.actions))
+			assert.Empty(t, callsApart(real, hollow))
+			for k, n := range kinds(real.actions) {
+				total[k] += n
+			}
+		})
+	}
+	t.Log(total)
+	for _, k := range []string{"send", "cancel", "refuse", "fail", "load", "drop", "tell", "log", "configure"} {
+		assert.Positive(t, total[k], "never done: %s", k)
+	}
+	assert.Zero(t, total["answer"]+total["probe"], "the core ended a call by itself, or the list probed")
+}
+
+// The comparison must be able to fail: one thing is altered, and it shows.
+func TestComparisonFindsWhatDiffers(t *testing.T) {
+	p := play{seed: 1}
+	real, hollow := playBoth(t, p, nil)
+	require.Empty(t, firstApart(real.actions, hollow.actions))
+	for name, alter := range map[string]func(*play){
+		"a clock that is off by a tick": func(p *play) { p.offset = 4 * time.Millisecond },
+		"a lost call":                   func(p *play) { p.lose = "call" },
+		"a lost change of the list":     func(p *play) { p.lose = "list" },
+		"a second's messages lost":      func(p *play) { p.lose = "message" },
+		"other settings":                func(p *play) { p.settings = func(s *decide.Settings) { s.WastePrice, s.MaxAttempts = 0.3, 2 } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := p
+			alter(&x)
+			found := firstApart(real.actions, playHollow(t, x).actions)
+			assert.NotEmpty(t, found)
+			t.Log(found)
+		})
+	}
+	t.Run("a lost answer", func(t *testing.T) {
+		x := p
+		x.lose = "answer"
+		synctest.Test(t, func(t *testing.T) { real = playReal(t, x, nil) })
+		found := firstApart(real.actions, hollow.actions)
+		assert.NotEmpty(t, found)
+		t.Log(found)
+	})
+}
+
+// apartBy plays a script that forces a difference and returns the first one; both actions of it are of the time that it names.
+func apartBy(t *testing.T, p play, look func(*realHost)) (first string, real, hollow *stage) {
+	t.Helper()
+	real, hollow = playBoth(t, p, look)
+	first = firstApart(real.actions, hollow.actions)
+	t.Log(first)
+	require.NotEmpty(t, first, "nothing differs")
+	return first, real, hollow
+}
+
+// only are the actions of one run that the other has not.
+func only(of, but []action) (out []action) {
+	seen := map[action]int{}
+	for _, a := range but {
+		seen[a]++
+	}
+	for _, a := range of {
+		if seen[a]--; seen[a] < 0 {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// By design: the core looks a second time at the ration of orders, with a margin for the way; the module's own look is the
+// hollow host's only one.
+func TestCoreHoldsOrders(t *testing.T) {
+	_, real, hollow := apartBy(t, play{seed: 2, steady: true, settings: func(s *decide.Settings) { s.LoadFree, s.LoadShare = 2, 0.05 }}, func(h *realHost) {
+		assert.Positive(t, h.core.Counters().OrdersHeld)
+	})
+	a, b := sorted(only(real.actions, hollow.actions)), sorted(only(hollow.actions, real.actions))
+	assert.Equal(t, "load", b[0].kind(), "what the hollow host did first of all that the real one did not")
+	assert.GreaterOrEqual(t, a[0].at, b[0].at)
+}
+
+// By design: a call whose connection is still coming up when its worker drains is not written, and goes elsewhere; the hollow
+// host has no connections.
+func TestCoreRevokesFlights(t *testing.T) {
+	drain := func(s *stage) {
+		sent := s.began.Add(3 * time.Second)
+		c := &simCall{class: 0, model: 77, intended: sent, name: "0.999"}
+		s.at(sent, func() { s.host.arrive(c) })
+		s.at(sent.Add(simWay/2), func() { // wherever it went
+			for i := range s.listed {
+				if slices.ContainsFunc(s.actions, func(a action) bool { return a.text == fmt.Sprintf("send 0.999.0 #0 to %d", s.listed[i].ID) }) {
+					s.listed[i].State = decide.Draining
+					s.tell(i)
+				}
+			}
+		})
+	}
+	var ends [decide.Results]int64
+	_, real, hollow := apartBy(t, play{seed: 1, asked: 1, span: 4 * time.Second, steady: true, handshake: true, script: drain}, func(h *realHost) { ends = h.core.Counters().Ends })
+	assert.Equal(t, int64(1), ends[decide.Moot])
+	a, b := sorted(only(real.actions, hollow.actions)), only(hollow.actions, real.actions)
+	require.NotEmpty(t, a)
+	assert.Regexp(t, `^send 0\.999\.0 #1 to `, a[0].text)
+	assert.NotContains(t, fmt.Sprint(b), "send 0.999.0 #1")
+}
+
+// By design: the core reads the clock when its loop takes an event, not when that came. A loop that stands still for 3 ms has
+// the module hear all of that time 3 ms late at the most.
+func TestCoreReadsItsClockInTheLoop(t *testing.T) {
+	const still = 3 * time.Millisecond
+	_, real, hollow := apartBy(t, play{seed: 1, steady: true, stall: still}, nil)
+	a, b := sorted(only(real.actions, hollow.actions)), sorted(only(hollow.actions, real.actions))
+	assert.Contains(t, b[0].text, " 0.100.0 ")
+	assert.Equal(t, action{b[0].at + still, b[0].text}, a[0])
+}
+
+// By design: before the first list the module holds calls; the hollow host's clients are sent away at once.
+func TestCoreTakesCallsBeforeTheList(t *testing.T) {
+	real, hollow := playBoth(t, play{seed: 1, steady: true, listAt: 500 * time.Millisecond}, nil)
+	c, x := real.calls0[0], hollow.calls0[0]
+	require.Less(t, c.intended.Sub(real.began), 400*time.Millisecond)
+	assert.True(t, c.served)
+	assert.False(t, x.served)
+	assert.Zero(t, x.ended.Sub(x.intended))
+}
+
+// Not by design, and the hollow host's to mend: what the module calls off goes on there until it lands, and nothing is told of
+// it before. The comparison ends it as the core does; this shows what that hides.
+func TestHollowLeavesWhatIsCalledOff(t *testing.T) {
+	apart := 0
+	for seed := range uint64(2) {
+		real, hollow := playBoth(t, play{seed: seed, keeps: true}, nil)
+		i := slices.IndexFunc(sorted(real.actions), func(a action) bool { return a.kind() == "cancel" })
+		require.GreaterOrEqual(t, i, 0)
+		cancelled := sorted(real.actions)[i].at
+		if d := only(real.actions, hollow.actions); len(d) > 0 {
+			apart++
+			assert.GreaterOrEqual(t, sorted(d)[0].at, cancelled)
+		}
+	}
+	assert.Positive(t, apart)
+}
+
+// Not by design either: an order that never ends is given up by the core after its limit, never by the hollow host.
+func TestHollowWaitsForOrdersForEver(t *testing.T) {
+	const limit = time.Second
+	first, real, _ := apartBy(t, play{seed: 1, asked: 1, span: 8 * time.Second, steady: true,
+		settings: func(s *decide.Settings) { s.OrderTimeout = int64(limit) },
+		script: func(s *stage) { // a function is served, forgotten and asked for again; its box loses the load
+			for i, at := range []time.Duration{time.Second, 6 * time.Second} {
+				c := &simCall{class: 0, model: 77, intended: s.began.Add(at), name: fmt.Sprintf("0.90%d", i)}
+				s.at(c.intended, func() { s.host.arrive(c) })
+			}
+			s.at(s.began.Add(6200*time.Millisecond), func() {
+				for _, x := range s.boxes {
+					x.box = NewBox(s.f.Box, s.began.Add(-time.Hour))
+				}
+			})
+		}}, nil)
+	assert.Contains(t, kinds(real.actions), "load")
+	assert.Contains(t, first, "real "+(6*time.Second+limit).String()+" ")
+}
