Calibration: the same load to real processes and hollow dispatchers, costs side by side

Figures of hollow runs say what the decisions cost, not what a process does. Pairs of one real and one hollow dispatcher without peers, before one executor and before the whole list, tell what HTTP, sockets and goroutines take of a call, what connections to more executors do, and what is left for messages over sockets.

A processor time that counts wants a machine at rest.

--- /dev/null
+++ b/internal/lab/calibrate.go
@@ -0,0 +1,361 @@
+package lab
+
+// This file owns the calibration: the same load played to real processes of the program and to hollow dispatchers, and what
+// each costs side by side, so that figures of hollow runs can be read as those of real ones. Processor time and memory are
+// the kernel's, messages are counted at the datagrams' ways. It must never bound a time, nor ask a process what it costs.
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	calibrateIdle  = time.Second // before the clients start
+	calibrateReady = 20 * time.Second
+	calibrateApart = 1.3  // bytes of messages a call, real against hollow, at the most either way
+	calibrateWorth = 0.05 // worth in time, of that asked, the same
+	calibrateZones = 10   // as hollow executors have
+	// calibrateCopies is how many real dispatchers alone there are of each kind: what they have in common is taken off, and they
+	// differ by some hundredths.
+	calibrateCopies = 3
+)
+
+// calibration is what both arms are made of.
+type calibration struct {
+	sizes      []int // dispatchers
+	calls      float64
+	functions  int
+	warm, span time.Duration // of the real arm; the hollow one warms up for hollowWarm
+	program    Program
+}
+
+// costs are what one arm's dispatchers took, on the mean of them; NaN: not measured.
+type costs struct {
+	calls           int     // taken in the span, at all
+	cpu             float64 // s of processor time a call
+	apart           float64 // the same, between the greatest and the least of runs alike
+	system          float64 // part of it that the kernel took
+	idle            float64 // part of a core without calls
+	resident, heap  float64 // bytes
+	bytes, messages float64 // of messages out, a second
+	busiest         float64 // bytes out in the busiest second of any one
+	worth, unserved float64 // in time, of that asked; of the calls
+	breaches        int
+}
+
+// bytesACall are the bytes of messages that a call costs.
+func (c *costs) bytesACall(dispatchers int, span time.Duration) float64 {
+	return c.bytes * float64(dispatchers) * span.Seconds() / float64(max(1, c.calls))
+}
+
+// Calibrate plays the same load to real dispatchers, as processes, and to hollow ones. Real processes carry HTTP, sockets and
+// the core's goroutines, and collect garbage; hollow ones do not. What of a call's time each of these takes, pairs of one
+// real process and one hollow dispatcher tell that have calls but no peers: with a list of one executor what differs is what
+// carries a call, with the whole list what differs beyond that are connections to more executors (below zero where those cost
+// less than many to one), and what then is left of a fleet's difference are messages over sockets. A fleet and those alone
+// run at the same time, so that a busy machine slows all; the hollow ones after them. Times have no bounds; bytes of messages
+// and worth have. It takes some 30 s, or 70 s where o.Quick is false, and wants the program beside this executable.
+func Calibrate(ctx context.Context, o Options) (*Report, error) {
+	program, err := Ours()
+	if err != nil {
+		return nil, fmt.Errorf("calibration: %w", err)
+	}
+	c := calibration{sizes: []int{6, 12}, calls: 60, functions: 200, warm: hollowWarm, span: 20 * time.Second, program: program}
+	if o.Quick {
+		c.span = 6 * time.Second
+	}
+	return c.run(ctx, o)
+}
+
+// fleetOf is so many dispatchers before so many executors.
+type fleetOf struct{ dispatchers, executors int }
+
+func (c *calibration) run(ctx context.Context, o Options) (*Report, error) {
+	if _, err := exec.LookPath(c.program.Path); err != nil {
+		return nil, fmt.Errorf("calibration: the program to run: %w", err)
+	}
+	rep := &Report{Name: "calibration", Seed: o.Seed, Arms: []string{"real", "hollow", "real/hollow"}, Note: fmt.Sprintf(
+		"real processes with a relay on every way, and hollow dispatchers; %g calls/s at each, two executors for each, %d functions, a list that stands still, %v",
+		c.calls, c.functions, c.span)}
+	net, err := ClaimNet()
+	if err != nil {
+		return nil, fmt.Errorf("calibration: %w", err)
+	}
+	defer net.Close()
+	for _, n := range c.sizes {
+		o.Log("calibration: %d dispatchers, real ones and hollow ones", n)
+		whole, list, alone := fleetOf{n, 2 * n}, fleetOf{1, 2 * n}, fleetOf{1, 1}
+		got, err := c.reals(ctx, net, o, slices.Concat([]fleetOf{whole}, slices.Repeat([]fleetOf{list, alone}, calibrateCopies)))
+		if err != nil {
+			return nil, fmt.Errorf("calibration: %w", err)
+		}
+		var pairs [3]pair
+		for i, f := range []fleetOf{whole, list, alone} {
+			pairs[i].real = got[f]
+			if pairs[i].hollow, err = c.hollow(ctx, f, o.Seed); err != nil {
+				return nil, fmt.Errorf("calibration: %w", err)
+			}
+		}
+		c.report(rep, n, pairs)
+	}
+	return rep, nil
+}
+
+// pair are the same fleet's costs, real and hollow.
+type pair struct{ real, hollow *costs }
+
+// extra is what a call takes of a real dispatcher beyond a hollow one.
+func (p pair) extra() float64 { return p.real.cpu - p.hollow.cpu }
+
+// reals are runs of real processes at the same time, each with addresses of its own; the costs of equal fleets are their mean.
+// One that fails ends the others.
+func (c *calibration) reals(ctx context.Context, net *Net, o Options, fleets []fleetOf) (map[fleetOf]*costs, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	got := make([]*costs, len(fleets))
+	var wait sync.WaitGroup
+	for i, f := range fleets {
+		wait.Go(func() {
+			var err error
+			dir := filepath.Join(o.Dir, fmt.Sprintf("calibration-%d-%d-%d", fleets[0].dispatchers, f.dispatchers, i))
+			if got[i], err = c.real(ctx, net, dir, i, f, o.Seed+uint64(i)); err != nil {
+				stop(fmt.Errorf("%d real dispatchers, %d executors: %w", f.dispatchers, f.executors, err))
+			}
+		})
+	}
+	wait.Wait()
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	alike := map[fleetOf][]*costs{}
+	for i, f := range fleets {
+		alike[f] = append(alike[f], got[i])
+	}
+	out := map[fleetOf]*costs{}
+	for f, xs := range alike {
+		out[f] = meanOf(xs)
+	}
+	return out, nil
+}
+
+// meanOf is the mean of runs alike, with the spread of their processor time.
+func meanOf(xs []*costs) *costs {
+	m := *xs[0]
+	low, high := m.cpu, m.cpu
+	for _, x := range xs[1:] {
+		low, high = min(low, x.cpu), max(high, x.cpu)
+		m.cpu, m.system, m.idle, m.resident = m.cpu+x.cpu, m.system+x.system, m.idle+x.idle, m.resident+x.resident
+		m.worth, m.unserved, m.calls, m.breaches = m.worth+x.worth, m.unserved+x.unserved, m.calls+x.calls, m.breaches+x.breaches
+	}
+	n := float64(len(xs))
+	m.cpu, m.system, m.idle, m.resident, m.worth, m.unserved = m.cpu/n, m.system/n, m.idle/n, m.resident/n, m.worth/n, m.unserved/n
+	m.apart = high - low
+	return &m
+}
+
+// report adds a size's rows and bounds: the whole fleet, one with its list alone, and one with a single executor.
+func (c *calibration) report(rep *Report, n int, pairs [3]pair) {
+	name := fmt.Sprintf("%d dispatchers: ", n)
+	for i, who := range []string{name, fmt.Sprintf("one alone, %d executors: ", 2*n), "one alone, one executor: "} {
+		r, h := pairs[i].real, pairs[i].hollow
+		row := func(what, unit string, scale float64, of func(*costs) float64) {
+			a, b := scale*of(r), scale*of(h)
+			rep.Row(who+what, unit, a, b, a/b)
+		}
+		row("processor time", "us a call", 1e6, func(x *costs) float64 { return x.cpu })
+		if i > 0 {
+			rep.Row(fmt.Sprintf("%sbetween %d alike", who, calibrateCopies), "us a call", 1e6*r.apart, math.NaN(), math.NaN())
+		}
+		row("of it in the kernel", "part", 1, func(x *costs) float64 { return x.system })
+		row("processor time before any call", "% of a core", 100, func(x *costs) float64 { return x.idle })
+		rep.Row(who+"memory: resident, and a hollow one's heap", "MB", r.resident/1e6, h.heap/1e6, math.NaN())
+		if i == 0 {
+			row("messages", "bytes a call", 1, func(x *costs) float64 { return x.bytesACall(n, c.span) })
+			row("messages out", "bytes/s each", 1, func(x *costs) float64 { return x.bytes })
+			row("messages out", "a second each", 1, func(x *costs) float64 { return x.messages })
+			row("messages out, busiest second of any", "bytes", 1, func(x *costs) float64 { return x.busiest })
+		}
+		row("worth in time", "of that asked", 1, func(x *costs) float64 { return x.worth })
+		row("calls never served", "%", 100, func(x *costs) float64 { return x.unserved })
+	}
+	r, h := pairs[0].real, pairs[0].hollow
+	only := func(what, unit string, x float64) { rep.Row(name+what, unit, x, math.NaN(), math.NaN()) }
+	whole, list, alone := pairs[0].extra(), pairs[1].extra(), pairs[2].extra()
+	only("processor time that hollow ones leave out", "us a call", 1e6*whole)
+	only("of it HTTP, sockets, goroutines and garbage of a call", "us a call", 1e6*alone)
+	only("of it connections to more executors", "us a call", 1e6*(list-alone))
+	only("of it messages over sockets", "us a call", 1e6*(whole-list))
+	only("that is, for one out and one in", "us a message", 1e6*(whole-list)*c.calls/r.messages)
+	ratio := r.bytesACall(n, c.span) / h.bytesACall(n, c.span)
+	rep.Most(name+"bytes of messages a call, real of hollow", ratio, calibrateApart)
+	rep.Least(name+"bytes of messages a call, real of hollow", ratio, 1/calibrateApart)
+	rep.Most(name+"worth apart", math.Abs(r.worth-h.worth), calibrateWorth)
+	rep.Most(name+"breaches by the real ones, alone or not", float64(r.breaches+pairs[1].real.breaches+pairs[2].real.breaches), 0)
+}
+
+// size is what a hollow run has of it.
+func (c *calibration) size(f fleetOf) HollowSize {
+	return HollowSize{Dispatchers: f.dispatchers, Executors: f.executors, Functions: c.functions, Calls: c.calls, Span: c.span}
+}
+
+// hollow is a run of hollow dispatchers.
+func (c *calibration) hollow(ctx context.Context, fleet fleetOf, seed uint64) (*costs, error) {
+	r, err := HollowRun(ctx, c.size(fleet), seed)
+	if err != nil {
+		return nil, err
+	}
+	f := func(name string) float64 {
+		if x, told := r.Figures[name]; told {
+			return x
+		}
+		return math.NaN()
+	}
+	h := &costs{calls: int(f("calls")), system: math.NaN(), idle: math.NaN(), resident: math.NaN(), heap: f("heap"), bytes: f("bytes.out"),
+		messages: f("messages.out"), busiest: f("bytes.out.busiest"), worth: f("worth"), unserved: f("unserved")}
+	h.cpu = f("cpu.all") * c.span.Seconds() * float64(fleet.dispatchers) / float64(max(1, h.calls))
+	return h, nil
+}
+
+// real is a run of processes: one second without calls, then the warm-up and the span.
+func (c *calibration) real(ctx context.Context, net *Net, dir string, group int, fleet fleetOf, seed uint64) (*costs, error) {
+	f := hollowFigures(c.size(fleet))
+	r, err := NewRig(net, dir, RigSize{Dispatchers: fleet.dispatchers, Boxes: fleet.executors, Figures: f, Program: c.program, Group: group, Zones: calibrateZones,
+		Seed: seed, Load: Load{Rate: c.calls, Models: c.functions, Retries: 2}, Settings: func(_ int, s map[string]any) {
+			s["prices"].(map[string]any)["peer"] = peerPrice
+		}})
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	ready, done := context.WithTimeout(ctx, calibrateReady)
+	defer done()
+	if err := r.Start(ready, nil); err != nil {
+		return nil, err
+	}
+	var look [4]taken // once ready, before the clients, and around the span
+	at := time.Now()
+	for i, wait := range []time.Duration{0, calibrateIdle, c.warm, c.span} {
+		at = at.Add(wait)
+		if err := sleepUntil(ctx, at); err != nil {
+			return nil, err
+		}
+		if look[i], err = r.taken(); err != nil {
+			return nil, err
+		}
+		if i == 1 {
+			r.Send(ctx, nil)
+		}
+	}
+	r.Quiet()
+	from, until := look[2].at, look[3].at
+	n, span := float64(fleet.dispatchers), until.Sub(from).Seconds()
+	x := &costs{heap: math.NaN(), resident: float64(look[3].resident) / n, idle: (look[1].cpu - look[0].cpu).Seconds() / n / look[1].at.Sub(look[0].at).Seconds(),
+		system: float64(look[3].system-look[2].system) / math.Max(1, float64(look[3].ticks-look[2].ticks))}
+	asked, earned, bad := 0.0, 0.0, 0
+	for _, call := range r.Calls(func(int) bool { return true }) {
+		if call.Intended.Before(from) || !call.Intended.Before(until) {
+			continue
+		}
+		x.calls++
+		asked += f.Classes[call.Class].Worth
+		earned += call.Worth(f)
+		if !call.Served {
+			bad++
+		}
+	}
+	if x.calls == 0 {
+		return nil, errors.New("no call came")
+	}
+	x.cpu = (look[3].cpu - look[2].cpu).Seconds() / float64(x.calls)
+	x.worth, x.unserved = earned/asked, float64(bad)/float64(x.calls)
+	seconds := map[[2]int]int{}
+	for _, d := range r.Words.Seen() {
+		if !d.At.Before(from) && d.At.Before(until) {
+			x.bytes += float64(d.Bytes) / n / span
+			x.messages += 1 / n / span
+			seconds[[2]int{d.From, int(d.At.Sub(from) / time.Second)}] += d.Bytes
+		}
+	}
+	for _, b := range seconds {
+		x.busiest = max(x.busiest, float64(b))
+	}
+	x.breaches = r.Check(nil).Sum()
+	if err := r.Stop(); err != nil {
+		return nil, fmt.Errorf("a dispatcher did not end well: %w", err)
+	}
+	return x, nil
+}
+
+// taken is what a rig's processes have taken so far, together.
+type taken struct {
+	at            time.Time
+	cpu           time.Duration
+	system, ticks int64 // of the kernel's accounting, which is coarser: in the kernel, and in all
+	resident      int64 // bytes
+}
+
+func (r *Rig) taken() (sum taken, err error) {
+	sum.at = time.Now()
+	for _, d := range r.Nodes {
+		if !d.Running() {
+			return sum, fmt.Errorf("dispatcher %d is not running", d.N)
+		}
+		t, err := takenBy(d.cmd.Process.Pid)
+		if err != nil {
+			return sum, fmt.Errorf("dispatcher %d: %w", d.N, err)
+		}
+		sum.cpu, sum.system, sum.ticks, sum.resident = sum.cpu+t.cpu, sum.system+t.system, sum.ticks+t.ticks, sum.resident+t.resident
+	}
+	return sum, nil
+}
+
+// takenBy is what a process has taken: its processor time by its own clock (clock_getcpuclockid(3): the id is made of the
+// process's), and how that parts and what memory it has by /proc (proc_pid_stat(5), proc_pid_statm(5)).
+func takenBy(pid int) (t taken, err error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(^int32(pid)<<3|2, &ts); err != nil {
+		return t, fmt.Errorf("processor clock of process %d: %w", pid, err)
+	}
+	t.cpu = time.Duration(ts.Nano())
+	fields := func(file string) ([]int64, error) {
+		raw, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), file))
+		if err != nil {
+			return nil, err
+		}
+		if i := bytes.LastIndexByte(raw, ')'); i >= 0 {
+			raw = raw[i+1:] // the command's name may hold anything
+		}
+		var out []int64
+		for _, x := range bytes.Fields(raw) {
+			n, _ := strconv.ParseInt(string(x), 10, 64)
+			out = append(out, n)
+		}
+		return out, nil
+	}
+	stat, err := fields("stat")
+	if err != nil {
+		return t, err
+	}
+	statm, err := fields("statm")
+	if err != nil {
+		return t, err
+	}
+	const user, system, pages = 11, 12, 1 // stat's from behind the name on
+	if len(stat) <= system || len(statm) <= pages {
+		return t, fmt.Errorf("what /proc tells of process %d cannot be read", pid)
+	}
+	t.system, t.ticks, t.resident = stat[system], stat[user]+stat[system], statm[pages]*int64(os.Getpagesize())
+	return t, nil
+}
--- a/internal/lab/calibrate_test.go
+++ b/internal/lab/calibrate_test.go
@@ -4,7 +4,7 @@
 // a bubble of package synctest, and the dispatcher in virtual time. Both stand before the same world, engine and boxes of
 // virtual time, and both arms must order the same at the same nanosecond. What differs by design is forced by tests of its
 // own and asserted; the comparison must never skip over it. Not played, for the hollow host has none of it: callers that leave,
-// the cap on open calls, tenants, and the ramp after a start from a kept list.
+// the cap on open calls, tenants, and the ramp after a start from a kept list. It owns the tests of the calibration too.
 
 import (
 	"cmp"
@@ -12,7 +12,12 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +27,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"oakthread"
 	"oakthread/decide"
@@ -864,3 +870,56 @@
 	assert.Contains(t, kinds(real.actions), "load")
 	assert.Contains(t, first, "real "+(6*time.Second+limit).String()+" ")
 }
+
+// Guards against figures of something else: what a process took is what it was made to take.
+func TestTakenByAProcess(t *testing.T) {
+	before, err := takenBy(os.Getpid())
+	require.NoError(t, err)
+	ballast := make([]byte, 32<<20)
+	for began := time.Now(); time.Since(began) < 50*time.Millisecond; {
+		for i := range ballast {
+			ballast[i]++
+		}
+	}
+	var use unix.Rusage
+	require.NoError(t, unix.Getrusage(unix.RUSAGE_SELF, &use))
+	after, err := takenBy(os.Getpid())
+	require.NoError(t, err)
+	runtime.KeepAlive(ballast)
+	assert.InDelta(t, float64(use.Utime.Nano()+use.Stime.Nano()), float64(after.cpu), float64(30*time.Millisecond), "against getrusage")
+	assert.Greater(t, after.cpu, before.cpu)
+	assert.Greater(t, after.resident, int64(32<<20))
+	_, err = takenBy(1 << 22) // above every process's number
+	require.Error(t, err)
+}
+
+// Three processes and three hollow dispatchers under the same load: all figures are there, and messages and worth are near.
+func TestCalibrateSmall(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "oakthread")
+	text, err := exec.Command("go", "build", "-o", program, "oakthread/cmd/oakthread").CombinedOutput()
+	require.NoError(t, err, string(text))
+	c := calibration{sizes: []int{3}, calls: 20, functions: 30, warm: 2 * time.Second, span: 3 * time.Second,
+		program: Program{Path: program, Args: []string{"serve"}}}
+	rep, err := c.run(t.Context(), Options{Seed: 1, Dir: t.TempDir(), Log: t.Logf})
+	require.NoError(t, err)
+	var out strings.Builder
+	rep.Print(&out)
+	t.Log(out.String())
+	for _, row := range rep.Rows {
+		require.Len(t, row.Values, 3)
+		assert.False(t, math.IsNaN(float64(row.Values[0])), row.Name)
+	}
+	for _, b := range rep.Bounds {
+		if strings.Contains(b.Name, "bytes") || strings.Contains(b.Name, "breaches") { // worth hangs on the machine's pace
+			assert.True(t, b.Holds, "%+v", b)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	_, err = c.run(ctx, Options{Seed: 1, Dir: t.TempDir(), Log: t.Logf})
+	require.ErrorIs(t, err, context.Canceled)
+	c.program.Path = filepath.Join(t.TempDir(), "none")
+	_, err = c.run(t.Context(), Options{Seed: 1, Dir: t.TempDir(), Log: t.Logf})
+	require.ErrorContains(t, err, "calibration: ")
+	assert.NotContains(t, err.Error(), "\n")
+}
