Experiment capacity: slopes of hollow dispatchers, foretold before they are run

Change: oaklab run capacity moves dispatchers, executors, functions, list events and calls alone, and words with them; the largest size is foretold and logged before it runs, then the largest fleet from all slopes; the walk of the whole list stands beside ours.

--- a/internal/lab/experiments.go
+++ b/internal/lab/experiments.go
@@ -18,5 +18,6 @@
 		{"mesh", "Tenants' shares while parts of the fleet do not hear each other, with the program before and after", RunMesh},
 		{"verdicts", "Boxes that fail, are slow, die or are out of reach for some, with the program before and after", RunVerdicts},
 		{"turns", "What one dispatcher does for all while others die, stand still, are cut off or come later, before and after", RunTurns},
+		{"capacity", "Hollow dispatchers in virtual time: what each costs over each size, the largest size foretold and then run", RunCapacity},
 	}
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -21,8 +21,14 @@
 	Rows   []Row             `json:"rows"`
 	Bounds []Bound           `json:"bounds"`
 	Files  map[string]string `json:"files,omitempty"`
+
+	Partial string `json:"partial,omitempty"` // why the run ended early; what is here is what there was until then
+	Detail  Detail `json:"detail,omitempty"`  // what the table has no room for
 }
 
+// Detail is what an experiment reports beside its table; it is printed after it.
+type Detail interface{ Print(io.Writer) }
+
 // Row is one figure in every arm; NaN where it was not measured.
 type Row struct {
 	Name   string   `json:"name"`
@@ -100,6 +106,10 @@
 	}
 	_ = t.Flush()
 	fmt.Fprintln(w)
+	if r.Detail != nil {
+		r.Detail.Print(w)
+		fmt.Fprintln(w)
+	}
 	for _, b := range r.Bounds {
 		word, verdict := "at most", "holds"
 		if b.AtLeast {
@@ -110,6 +120,9 @@
 		}
 		fmt.Fprintf(w, "%-6s  %s: %s, %s %.4g\n", verdict, b.Name, b.Figure, word, b.Limit)
 	}
+	if r.Partial != "" {
+		fmt.Fprintf(w, "PARTIAL: %s\n", r.Partial)
+	}
 }
 
 func (f Figure) String() string {
