--- a/cmd/oaklab/main.go
+++ b/cmd/oaklab/main.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "oaklab:", err)
 	}
+	if errors.Is(err, lab.ErrDimension) {
+		os.Exit(2) // as for all that cannot be read
+	}
 	os.Exit(cli.Code(err))
 }
 
--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -39,6 +39,9 @@
 	wordsAt      = "words"           // the dimension that has no runs of its own
 )
 
+// ErrDimension is of a name that no dimension of the experiment capacity has: a command line that cannot be read.
+var ErrDimension = errors.New("no dimension")
+
 // capacityFigure is a figure that slopes are made of.
 type capacityFigure struct {
 	name, unit string
@@ -255,7 +258,7 @@
 	want := strings.Split(only, ",")
 	for _, n := range want {
 		if !slices.Contains(names, n) {
-			return nil, fmt.Errorf("capacity: no dimension %q; there are %s", n, strings.Join(names, ", "))
+			return nil, fmt.Errorf("capacity: %w %q; there are %s", ErrDimension, n, strings.Join(names, ", "))
 		}
 	}
 	return want, nil
