Virtual fleets take the length up to which a list is walked; hollow runs set it too

Need: the whole walk and the choice in part have to stand side by side in one run.

Change: decide.Settings.Walk reaches nodes in virtual time (HollowSize.Before and Walk, fleetSim); a name of two in package lab is told apart. What oaklab run fleet prints is not touched: it leaves the program's own length.

--- a/internal/lab/calibrate.go
+++ b/internal/lab/calibrate.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("calibration: %w", err)
 	}
-	c := calibration{sizes: []int{6, 12}, calls: 60, functions: 200, warm: hollowWarm, span: 20 * time.Second, program: program}
+	c := calibration{sizes: []int{6, 12}, calls: 60, functions: 200, warm: 6 * time.Second, span: 20 * time.Second, program: program}
 	if o.Quick {
 		c.span = 6 * time.Second
 	}
@@ -145,13 +145,13 @@
 	}
 	out := map[fleetOf]*costs{}
 	for f, xs := range alike {
-		out[f] = meanOf(xs)
+		out[f] = meanCosts(xs)
 	}
 	return out, nil
 }
 
-// meanOf is the mean of runs alike, with the spread of their processor time.
-func meanOf(xs []*costs) *costs {
+// meanCosts is the mean of runs alike, with the spread of their processor time.
+func meanCosts(xs []*costs) *costs {
 	m := *xs[0]
 	low, high := m.cpu, m.cpu
 	for _, x := range xs[1:] {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -75,7 +75,7 @@
 			o.Log("%d dispatchers, %s", n, kind)
 			var both [2]*fleetResult
 			for arm := range both {
-				r, err := fleetSim(f, kind, n, boxes, arm == 1, o.Seed)
+				r, err := fleetSim(f, kind, n, boxes, arm == 1, 0, o.Seed)
 				if err != nil {
 					return nil, err
 				}
@@ -151,7 +151,7 @@
 				return err
 			}
 			o.Log("%d dispatchers, a box fails, arm %d", n, arm)
-			r, err := fleetSim(f, "fails", n, 60, arm == 1, o.Seed)
+			r, err := fleetSim(f, "fails", n, 60, arm == 1, 0, o.Seed)
 			if err != nil {
 				return err
 			}
@@ -164,7 +164,7 @@
 // deafSim is by how much, on the mean, dispatchers' totals of answers a second are off after a part of them has heard nothing
 // for 6 s.
 func deafSim(f *Figures, dispatchers, boxes int, part float64, seed uint64) (hearing, deaf float64, err error) {
-	w, err := fleetWorld(f, dispatchers, boxes, true, seed)
+	w, err := fleetWorld(f, dispatchers, boxes, true, 0, seed)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -200,9 +200,9 @@
 }
 
 // fleetWorld lays out a fleet in virtual time whose clients send until the end of a trouble's watch.
-func fleetWorld(f *Figures, dispatchers, boxes int, messages bool, seed uint64) (*simWorld, error) {
+func fleetWorld(f *Figures, dispatchers, boxes int, messages bool, walk int, seed uint64) (*simWorld, error) {
 	rate := float64(fleetCalls * boxes)
-	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4), messages: messages, lost: peerLost, price: peerPrice,
+	w := &simWorld{f: f, byID: map[decide.WorkerID]*simBox{}, popular: newZipf(8*boxes, 0.4), messages: messages, lost: peerLost, price: peerPrice, walk: walk,
 		load: Load{Rate: rate / float64(dispatchers), Models: 8 * boxes, Zipf: 0.4, Turn: 12 * time.Second, Retries: 2}}
 	w.now = time.Unix(1_800_000_000, 0)
 	w.lossy = rand.New(rand.NewPCG(seed, 3))
@@ -238,9 +238,9 @@
 	}
 }
 
-// fleetSim runs one trouble. The same seed gives the same run.
-func fleetSim(f *Figures, kind string, dispatchers, boxes int, messages bool, seed uint64) (*fleetResult, error) {
-	w, err := fleetWorld(f, dispatchers, boxes, messages, seed)
+// fleetSim runs one trouble; walk: decide.Settings.Walk. The same seed gives the same run.
+func fleetSim(f *Figures, kind string, dispatchers, boxes int, messages bool, walk int, seed uint64) (*fleetResult, error) {
+	w, err := fleetWorld(f, dispatchers, boxes, messages, walk, seed)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -36,12 +36,11 @@
 	Zipf                              float64       // exponent of the functions' popularity; 0: drawn evenly
 	Span                              time.Duration // virtual time that is measured, after a warm-up
 	Warm                              time.Duration // the warm-up; 0: 6 s
-	// Before has the whole list walked for every choice.
-	// TODO: it sets a field of decide.Settings, once there is one.
-	Before bool
-	Fault  string  // "" or one of HollowFaults()
-	Memory uint64  // bytes that the process may take; 0: half of the machine's
-	Lost   float64 // part of the messages that never come
+	Before                            bool          // the whole list is walked for every choice
+	Walk                              int           // else decide.Settings.Walk; 0: the program's own
+	Fault                             string        // "" or one of HollowFaults()
+	Memory                            uint64        // bytes that the process may take; 0: half of the machine's
+	Lost                              float64       // part of the messages that never come
 	// PeerPrice is decide.Settings.PeerPrice: what a message costs, of the worth of a call; 0: the least that decide takes.
 	// At the 0.021 of the experiment fleet no purse buys a digest for 1,000, and none is written.
 	PeerPrice float64
@@ -392,7 +391,10 @@
 	h.until = h.from.Add(size.Span)
 	h.term = 2 * int64(w.f.Classes[0].Aim)
 	w.hollow = h
-	w.price = size.PeerPrice
+	w.price, w.walk = size.PeerPrice, size.Walk
+	if size.Before {
+		w.walk = math.MaxInt
+	}
 	for i := range size.Executors {
 		x := w.add(i, w.began.Add(-time.Hour))
 		x.zone = i % 10
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -262,7 +262,7 @@
 func TestFleetKeepsTheRules(t *testing.T) {
 	for _, kind := range fleetKinds()[1:] {
 		for _, n := range []int{1, 3, 80} {
-			r, err := fleetSim(fleetFigures(), kind, n, 20, true, 5)
+			r, err := fleetSim(fleetFigures(), kind, n, 20, true, 0, 5)
 			require.NoError(t, err)
 			name := fmt.Sprintf("%s, %d dispatchers", kind, n)
 			require.Zero(t, r.twice+r.fallen+r.late+r.open+r.oversize, name)
--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -122,6 +122,7 @@
 	lossy     *rand.Rand
 	lost      float64 // part of the messages that never come
 	price     float64 // of a message
+	walk      int     // decide.Settings.Walk
 	delivered int     // bytes of messages
 	oversize  int     // messages that are too long
 	unreached int     // attempts whose connection never came up
@@ -214,7 +215,7 @@
 	s.list = roster.New(roster.Config{Seed: seed + uint64(n), Siblings: len(w.nodes), MaxWait: 1500 * time.Millisecond, Fresh: fresh})
 	var err error
 	set := w.f.settings(n, len(w.nodes))
-	set.Peers, set.PeerPrice = w.messages, w.price
+	set.Peers, set.PeerPrice, set.Walk = w.messages, w.price, w.walk
 	s.d, err = decide.New(w.now.UnixNano(), set, seed^uint64(n)*0x9e3779b9, s)
 	return s, err
 }
