Calibration says how far its clients fell behind, and where breaches came from

A row now tells the greatest delay of any client, a run whose span had no call says so with that delay, and breaches are logged by kind.

--- a/internal/lab/calibrate.go
+++ b/internal/lab/calibrate.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -39,6 +38,7 @@
 	functions  int
 	warm, span time.Duration // of the real arm; the hollow one warms up for hollowWarm
 	program    Program
+	log        func(string, ...any) // Options.Log
 }
 
 // costs are what one arm's dispatchers took, on the mean of them; NaN: not measured.
@@ -53,6 +53,7 @@
 	busiest         float64 // bytes out in the busiest second of any one
 	worth, unserved float64 // in time, of that asked; of the calls
 	breaches        int
+	late            float64 // s that a client fell behind its schedule, at the most: a machine too busy to tell much
 }
 
 // bytesACall are the bytes of messages that a call costs.
@@ -86,6 +87,7 @@
 	if _, err := exec.LookPath(c.program.Path); err != nil {
 		return nil, fmt.Errorf("calibration: the program to run: %w", err)
 	}
+	c.log = o.Log
 	rep := &Report{Name: "calibration", Seed: o.Seed, Arms: []string{"real", "hollow", "real/hollow"}, Note: fmt.Sprintf(
 		"real processes with a relay on every way, and hollow dispatchers; %g calls/s at each, two executors for each, %d functions, a list that stands still, %v",
 		c.calls, c.functions, c.span)}
@@ -157,6 +159,7 @@
 	for _, x := range xs[1:] {
 		low, high = min(low, x.cpu), max(high, x.cpu)
 		m.cpu, m.system, m.idle, m.resident = m.cpu+x.cpu, m.system+x.system, m.idle+x.idle, m.resident+x.resident
+		m.late = max(m.late, x.late)
 		m.worth, m.unserved, m.calls, m.breaches = m.worth+x.worth, m.unserved+x.unserved, m.calls+x.calls, m.breaches+x.breaches
 	}
 	n := float64(len(xs))
@@ -193,6 +196,7 @@
 	r, h := pairs[0].real, pairs[0].hollow
 	only := func(what, unit string, x float64) { rep.Row(name+what, unit, x, math.NaN(), math.NaN()) }
 	whole, list, alone := pairs[0].extra(), pairs[1].extra(), pairs[2].extra()
+	rep.Row(name+"clients behind their schedule, at most", "s", max(r.late, pairs[1].real.late, pairs[2].real.late), math.NaN(), math.NaN())
 	only("processor time that hollow ones leave out", "us a call", 1e6*whole)
 	only("of it HTTP, sockets, goroutines and garbage of a call", "us a call", 1e6*alone)
 	only("of it connections to more executors", "us a call", 1e6*(list-alone))
@@ -275,8 +279,11 @@
 			bad++
 		}
 	}
+	for _, k := range r.Called {
+		x.late = max(x.late, k.Late().Seconds())
+	}
 	if x.calls == 0 {
-		return nil, errors.New("no call came")
+		return nil, fmt.Errorf("no call came in the span, clients fell %.1f s behind: the machine is too busy", x.late)
 	}
 	x.cpu = (look[3].cpu - look[2].cpu).Seconds() / float64(x.calls)
 	x.worth, x.unserved = earned/asked, float64(bad)/float64(x.calls)
@@ -291,7 +298,10 @@
 	for _, b := range seconds {
 		x.busiest = max(x.busiest, float64(b))
 	}
-	x.breaches = r.Check(nil).Sum()
+	b := r.Check(nil)
+	if x.breaches = b.Sum(); x.breaches > 0 {
+		c.log("calibration: %d dispatchers, %d executors, clients up to %.1f s behind: %+v", fleet.dispatchers, fleet.executors, x.late, b)
+	}
 	if err := r.Stop(); err != nil {
 		return nil, fmt.Errorf("a dispatcher did not end well: %w", err)
 	}
