--- a/internal/lab/calibrate.go
+++ b/internal/lab/calibrate.go
@@ -36,7 +36,7 @@
 	sizes      []int // dispatchers
 	calls      float64
 	functions  int
-	warm, span time.Duration // of the real arm; the hollow one warms up for hollowWarm
+	warm, span time.Duration
 	program    Program
 	log        func(string, ...any) // Options.Log
 }
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("calibration: %w", err)
 	}
-	c := calibration{sizes: []int{6, 12}, calls: 60, functions: 200, warm: hollowWarm, span: 20 * time.Second, program: program}
+	c := calibration{sizes: []int{6, 12}, calls: 60, functions: 200, warm: fleetWarm, span: 20 * time.Second, program: program}
 	if o.Quick {
 		c.span = 6 * time.Second
 	}
@@ -211,7 +211,8 @@
 
 // size is what a hollow run has of it.
 func (c *calibration) size(f fleetOf) HollowSize {
-	return HollowSize{Dispatchers: f.dispatchers, Executors: f.executors, Functions: c.functions, Calls: c.calls, Span: c.span}
+	return HollowSize{Dispatchers: f.dispatchers, Executors: f.executors, Functions: c.functions, Calls: c.calls, Warm: c.warm, Span: c.span,
+		PeerPrice: peerPrice}
 }
 
 // hollow is a run of hollow dispatchers.
