--- a/internal/lab/calibrate.go
+++ b/internal/lab/calibrate.go
@@ -284,7 +284,7 @@
 		x.late = max(x.late, k.Late().Seconds())
 	}
 	if x.calls == 0 {
-		return nil, fmt.Errorf("no call came in the span, clients fell %.1f s behind: the machine is too busy", x.late)
+		return nil, fmt.Errorf("no call came in the span; clients fell %.1f s behind their schedule at the most", x.late)
 	}
 	x.cpu = (look[3].cpu - look[2].cpu).Seconds() / float64(x.calls)
 	x.worth, x.unserved = earned/asked, float64(bad)/float64(x.calls)
