--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -32,6 +32,7 @@
 	budgetChoice = 0.045 / 200 * 1e9 // ns a call, if choices alone had all of it: 380,000 calls/s at 1,900 dispatchers
 	aimChoice    = 25e3              // ns a call that is wanted at the most executors
 	worthRoom    = 0.01              // by which worth may fall below that of the whole walk
+	farthest     = 1000              // times the largest size of a fit: beyond that it says nothing of a budget
 	largestRoom  = 0.5               // of a prediction from several slopes, at the most
 	capacityCSV  = "capacity.csv"    // beside the plots: a line for each figure of each run
 	choiceAt     = "choice"          // the section that sets the walk of the whole list beside the program
@@ -64,7 +65,8 @@
 		{name: "cpu.config", unit: "ns a change", product: true, timed: true},
 		{name: "cpu.control", unit: "of a core", product: true, timed: true, budget: budgetCore},
 		{name: "cpu.all", unit: "of a core", product: true, timed: true, budget: budgetCore},
-		{name: "bytes", unit: "a second", budget: budgetBytes}, // in and out
+		{name: "cpu.busiest", unit: "of a core", product: true, timed: true}, // a second, and mostly a collector's
+		{name: "bytes", unit: "a second", budget: budgetBytes},               // in and out
 		{name: "bytes.in", unit: "a second"},
 		{name: "bytes.out", unit: "a second"},
 		{name: "messages.in", unit: "a second"},
@@ -79,7 +81,7 @@
 
 // serviceFigures are shown of the largest fleet and not foretold: they are no cost, and no shape falls.
 func serviceFigures() []string {
-	return []string{"resident", "cpu.busiest", "loads", "digests", "covered", "worth", "unserved", "p99.cold", "acts.last"}
+	return []string{"resident", "loads", "digests", "covered", "worth", "unserved", "p99.cold", "acts.last"}
 }
 
 // capacityDim is a size that is moved alone. Its last value is not part of the fit.
@@ -132,7 +134,8 @@
 
 // planCapacity is the experiment's plan. Calls a second at each dispatcher are fewer than the 200 of the letter, so that many
 // dispatchers fit into one process; calls are a dimension of their own, up to those 200. The largest fleet has the base's
-// calls and list events, so that its prediction goes over three sizes alone.
+// calls and list events, so that its prediction goes over three sizes alone. Messages are at their least price: at a higher one
+// the purse, not the size, bounds what is told.
 func planCapacity(o Options) capacityPlan {
 	p := capacityPlan{seeds: []uint64{o.Seed, o.Seed + 1, o.Seed + 2}, walks: []int{120, 300, 600, 2_400, 9_600},
 		base:    HollowSize{Dispatchers: 60, Executors: 120, Functions: 4_800, Calls: 10, ListEvents: 1, Span: 8 * time.Second},
@@ -230,7 +233,8 @@
 	}
 	c := &capacity{plan: plan, hollow: hollow, o: o, detail: &Capacity{Base: plan.base}, done: map[capacityKey]map[string]float64{}, slopes: map[string][]*CapacitySlope{}}
 	c.rep = &Report{Name: "capacity", Seed: o.Seed, Arms: []string{"foretold, or before", "measured, or ours"}, Detail: c.detail, Note: fmt.Sprintf(
-		"hollow dispatchers in virtual time, seeds %v; each size moved alone, all others held at %s and %g list events/s", plan.seeds, &plan.base, plan.base.ListEvents)}
+		"hollow dispatchers in virtual time, seeds %v; each size moved alone, all others held at %s and %g list events/s, a message at %g of a call",
+		plan.seeds, &plan.base, plan.base.ListEvents, plan.base.PeerPrice)}
 	if o.Plots != "" {
 		file, err := c.open()
 		if err != nil {
@@ -377,7 +381,7 @@
 	}
 	s.Fit = &fit
 	if s.Budget > 0 {
-		if x, ok := fit.Crosses(s.Budget); ok {
+		if x, ok := fit.Crosses(s.Budget); ok && x <= farthest*fit.To {
 			s.UsedUp = Figure(x)
 		}
 	}
@@ -582,10 +586,11 @@
 }
 
 // combine foretells figure i of a size from the slopes over each dimension: from the base on, what each adds is added, or the
-// factors by which each raises it are multiplied. The rooms of the dimensions that are moved add up, to largestRoom at most.
+// factors by which each raises it are multiplied. The rooms over the sizes that are moved add up as independent errors do, in
+// squares, to largestRoom at most.
 func (c *capacity) combine(i int, product bool, size HollowSize) (*Foretold, string) {
 	p := &Foretold{At: time.Now(), X: Figure(math.NaN()), Measured: Figure(math.NaN())}
-	base, sum, factor := 0.0, 0.0, 1.0
+	base, sum, factor, squares := 0.0, 0.0, 1.0, 0.0
 	for _, d := range c.plan.dims {
 		s := c.slopes[d.name][i]
 		if s.Fit == nil {
@@ -597,11 +602,11 @@
 		if from > 0 {
 			factor *= to / from
 		}
-		if from != to {
-			p.Room += s.Fit.Room()
+		if d.of(c.plan.base) != d.of(size) {
+			squares += s.Fit.Room() * s.Fit.Room()
 		}
 	}
-	p.Room = min(max(p.Room, 0.1), largestRoom)
+	p.Room = min(math.Sqrt(squares), largestRoom)
 	if p.Y = Figure(max(0, base+sum)); product {
 		p.Y = Figure(base * factor)
 	}
