--- a/decide/decide.go
+++ b/decide/decide.go
@@ -134,7 +134,6 @@
 		h.ordered, h.orderedAt = true, now
 		if h.until <= now {
 			d.announce(now, h)
-			d.tell(now)
 		}
 	}
 	r.fn.held = append(r.fn.held, r)
@@ -149,11 +148,10 @@
 	if all := d.sum(served) * d.view.Scale; now-d.digestAt < 2*d.minAim && all > 0 {
 		part = min(1, max(d.servedNow(now)*1e9/all, leastPart))
 	}
-	for _, w := range d.list {
-		for _, h := range d.held(now, w) {
+	for _, w := range d.holding() {
+		for _, h := range d.held(now, w, d.set.KeepAlive/2) {
 			calls := h.fn.calls * math.Exp(-float64(now-h.fn.callsAt)/float64(d.keep())) / part
-			idle := h.inflight == 0 && h.until-now < d.set.KeepAlive/2
-			if d.set.Orders && h.sure && idle && calls < idleCalls {
+			if d.set.Orders && h.sure && h.inflight == 0 && calls < idleCalls {
 				d.host.Drop(w.Worker, h.fn.id)
 				h.until = 0
 			}
@@ -183,7 +181,6 @@
 	d.use(now, w)
 	if !a.warm && h.inflight == 1 {
 		d.announce(now, h)
-		d.tell(now)
 	}
 	w.coldLeft--
 	if trial {
@@ -536,7 +533,7 @@
 	}
 	h.until, h.sure = now+d.set.KeepAlive, true
 	if now-h.told > d.set.KeepAlive/2 {
-		d.announce(now, h)
+		d.note(now, h)
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,6 +69,8 @@
 	ring           ring.Ring[*worker]
 	used           []*worker // with calls of ours out, or that failed just now
 	touched        []*worker // what active looks at, in a long list
+	holders        []*worker // what holding looks at
+	young          []*worker // listed ones that are cold, or were
 	warm           int       // listed workers that are not cold
 	sweptAt        int64
 	stoodAt        int64          // when we last found that we had stood still
@@ -115,32 +117,36 @@
 	cut         bool // its connection was
 }
 
+// worker's fields that each choice reads stand first: a candidate of a long list is in no cache.
 type worker struct {
 	Entry
+	looked     int     // the last choice that looked at it, and whether it was well then
+	turn       int     // the last choice that it may have
+	now        float64 // load in that
+	well       bool
 	listed     bool
+	heard      bool       // an answer has come since it was listed or restarted
 	open       []*attempt // in order of sending
 	ghosts     []ghost    // failed attempts stay in the load for a while
-	heard      bool       // an answer has come since it was listed or restarted
 	lastAnswer int64
-	health     verdict.Box
-	coldSlot   int64 // the draw of the cold budget in force, and what is left of it
-	coldLeft   int
-	holds      []*holder
+	silentAt   int64   // a digest told that it answers nobody
+	others     float64 // requests of other dispatchers, by reports
+	othersAt   int64
 	pace       float64 // its time for a call at a loaded copy, in the mean of all; 1 at the least
 	paceAt     int64
 	told       float64 // the same as others tell it: it weighs, and is never told on
 	toldAt     int64
-	silentAt   int64   // a digest told that it answers nobody
-	now        float64 // load in the choice of this number
-	turn       int
-	looked     int // the last choice that looked at it, and whether it was well then
-	well       bool
-	used       bool    // it is in Dispatcher.used
-	touchedAt  int64   // when a call, an answer or a message last concerned it; 0: not in touched
-	others     float64 // requests of other dispatchers, by reports
-	othersAt   int64
-	peers      []peerCount
-	marks      []peerMark // what others told of it to us as the hub
+	health     verdict.Box
+
+	coldSlot  int64 // the draw of the cold budget in force, and what is left of it
+	coldLeft  int
+	used      bool  // it is in Dispatcher.used
+	holder    bool  // it is in Dispatcher.holders
+	young     bool  // it is in Dispatcher.young
+	touchedAt int64 // when a call, an answer or a message last concerned it; 0: not in Dispatcher.touched
+	holds     []*holder
+	peers     []peerCount
+	marks     []peerMark // what others told of it to us as the hub
 }
 
 // purse is what may be spent on messages, and what the last one cost, sent or not; as prices, parts of a call's worth.
@@ -292,14 +298,32 @@
 // expected tells whether a copy is believed to stand there, or about to.
 func (h *holder) expected(now int64) bool { return h.until > now || h.inflight > 0 || h.ordered }
 
-// announce has the others told of a new holder.
-func (d *Dispatcher) announce(now int64, h *holder) {
+// note has the others told of a holder with the next message.
+func (d *Dispatcher) note(now int64, h *holder) {
 	if d.set.Peers {
 		h.told = now
 		d.news = append(d.news, h)
 	}
 }
 
+// announce has the others told of a new holder at once; where the list is long, only once what the last message cost is saved up:
+// it may be too dear for each call.
+func (d *Dispatcher) announce(now int64, h *holder) {
+	d.note(now, h)
+	if len(d.list) <= d.set.Walk || d.words.left >= d.words.last {
+		d.tell(now)
+	}
+}
+
+// holding lists the workers that may be believed to hold copies: of a short list all.
+func (d *Dispatcher) holding() []*worker {
+	if len(d.list) <= d.set.Walk {
+		return d.list
+	}
+	d.holders = slices.DeleteFunc(d.holders, func(w *worker) bool { w.holder = w.listed && len(w.holds) > 0; return !w.holder })
+	return d.holders
+}
+
 // touch takes that a call, an answer or a message concerns w, where it is listed.
 func (d *Dispatcher) touch(now int64, w *worker) {
 	if !w.listed {
@@ -309,6 +333,14 @@
 		d.touched = append(d.touched, w)
 	}
 	w.touchedAt = max(now, 1)
+	d.holds(w)
+}
+
+// holds takes that w may come to be believed to hold copies.
+func (d *Dispatcher) holds(w *worker) {
+	if !w.holder {
+		w.holder, d.holders = true, append(d.holders, w)
+	}
 }
 
 // use takes that a call of ours is out at w, or has just ended there.
@@ -344,7 +376,9 @@
 		if w.listed && (now-w.touchedAt < heardAims*d.minAim || len(w.open) > 0 || d.out(w) || says) {
 			return false
 		}
-		w.touchedAt = 0
+		if w.touchedAt = 0; len(d.list) > d.set.Walk { // all of it is too old to count
+			w.peers, w.marks = nil, nil
+		}
 		return true
 	})
 }
@@ -425,10 +459,10 @@
 	return nil
 }
 
-// held lists the functions that w is believed to hold, by id, so that nothing depends on map order.
-func (d *Dispatcher) held(now int64, w *worker) (hs []*holder) {
+// held lists the functions that w is believed to hold, for less than so long, by id, so that nothing depends on map order.
+func (d *Dispatcher) held(now int64, w *worker, long int64) (hs []*holder) {
 	for _, h := range w.holds {
-		if h.until > now {
+		if h.until > now && h.until-now < long {
 			hs = append(hs, h)
 		}
 	}
@@ -496,11 +530,9 @@
 	}
 	// Not all news is told where messages are dear or there are no peers.
 	d.news = slices.DeleteFunc(d.news, func(h *holder) bool { return h.until <= now && h.inflight == 0 && !h.ordered })
-	d.warm = 0
-	for _, w := range d.list {
-		if !d.isCold(now, w) {
-			d.warm++
-		}
+	d.young = slices.DeleteFunc(d.young, func(w *worker) bool { w.young = w.listed && d.isCold(now, w); return !w.young })
+	d.warm = len(d.list) - len(d.young)
+	for _, w := range d.active() {
 		w.peers = slices.DeleteFunc(w.peers, func(p peerCount) bool { return now-p.at > 2*d.minAim })
 		w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return now-p.at > hubAims*d.minAim })
 		keep := w.ghosts[:0]
@@ -604,7 +636,7 @@
 	if m.Hello { // a restarted dispatcher asks: tell it all that we believe
 		out := commons.Message{GoesOn: true}
 		for _, w := range d.list {
-			for _, h := range d.held(now, w) {
+			for _, h := range d.held(now, w, forever) {
 				out.Pairs = append(out.Pairs, commons.Pair{Func: funcTag(h.fn.id), Worker: tag(w.Worker)})
 			}
 		}
@@ -660,6 +692,7 @@
 		d.funcs[p.Func] = f
 	}
 	h := f.at(w, true)
+	d.holds(w)
 	if h.until <= now {
 		h.sure = false
 		if pass {
@@ -757,6 +790,9 @@
 		d.list = append(d.list, w)
 		d.touch(d.now, w)
 	}
+	if !w.young && d.isCold(d.now, w) {
+		w.young, d.young = true, append(d.young, w)
+	}
 }
 
 // middle is the median, which a few crowded workers do not move; 0 of none.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -70,17 +70,17 @@
 type Box struct {
 	mean    float64 // of failures, decaying
 	at      int64
+	boundAt int64 // the last word that would leave it out; 0: none
 	out     bool
+	cold    bool  // its connections never come up
 	until   int64 // the next trial
 	wait    int64
-	cold    bool // its connections never come up
-	round   int  // of its zone, when that was last found
+	round   int // of its zone, when it was last found cold
 	trialed int64
 	seen    seen // what came of our calls there
 	word    Word // what others told last
 	wordAt  int64
 	since   int64 // when a verdict by words began
-	boundAt int64 // the last word that would leave it out; 0: none
 }
 
 func (j *Judge) zone(z int) *zone {
