A program that cannot be started leaves no half-begun dispatcher in the rig

Cause: Dispatcher.Start kept the command after exec had failed (dispatchers.go, the return after cmd.Start), and the end of the rig then signalled a process that was nil.

Change: the command is dropped; a test.

Measured: TestProgramThatCannotStart passes, and failed without the change.

--- a/internal/lab/dispatchers.go
+++ b/internal/lab/dispatchers.go
@@ -139,6 +139,7 @@
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	d.cmd.Stderr = out
 	if err := d.cmd.Start(); err != nil {
+		d.cmd = nil
 		return fmt.Errorf("dispatcher %d: %w", d.N, err)
 	}
 	d.Began = append(d.Began, time.Now())
--- a/internal/lab/ways_test.go
+++ b/internal/lab/ways_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -168,3 +169,12 @@
 	assert.Equal(t, 2240*time.Millisecond, Silence(seen, all, ms(-10), ms(3000)))
 	assert.Equal(t, time.Second, Silence(seen, func(n int) bool { return n == 0 }, ms(0), ms(1000)))
 }
+
+// Found by the calibration: a program that could not be started left a command without a process, and the end of the rig panicked.
+func TestProgramThatCannotStart(t *testing.T) {
+	dir := t.TempDir()
+	d := &Dispatcher{Dir: dir, Run: Program{Path: filepath.Join(dir, "none")}}
+	require.Error(t, d.Start())
+	assert.False(t, d.Running())
+	assert.NoError(t, d.Kill())
+}
