--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	bin/oaklab run mesh --quick
 	bin/oaklab run verdicts --quick
 	bin/oaklab run turns --quick
+	bin/oaklab run capacity --quick
 
 # The records of the kept list, after a change of kept.proto; needs protoc and protoc-gen-go.
 proto:
