A digest in a long list costs what it tells, not the list

Change: in a long list an executor that a whole digest leaves out is found idle when it is asked for (freshen), and the middle is taken of some.

Measured: a test sets both ways side by side, seen to fail without the look; go test ./decide passed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -563,6 +563,7 @@
 			n++
 		}
 	}
+	d.freshen(w)
 	// What was seen there fades to what is seen elsewhere: one not heard from lately counts at the middle.
 	return n + d.others + fading(w.others-d.others, now-w.othersAt, d.tau())
 }
@@ -587,7 +588,7 @@
 		return
 	}
 	n := max(0, rep[i]-float64(len(w.open)))
-	if float64(now-w.othersAt) > d.tau() {
+	if d.freshen(w); float64(now-w.othersAt) > d.tau() {
 		w.others = n
 	}
 	w.others += seenStep * (n - w.others)
@@ -595,7 +596,7 @@
 	// The middle, each worker once: by answers, the crowded ones would count most, and none would look heavy.
 	d.sorted = d.sorted[:0]
 	for _, x := range d.some() {
-		if x.othersAt > 0 && float64(now-x.othersAt) < d.tau() {
+		if d.freshen(x); x.othersAt > 0 && float64(now-x.othersAt) < d.tau() {
 			d.sorted = append(d.sorted, x.others)
 		}
 	}
--- a/decide/long_test.go
+++ b/decide/long_test.go
@@ -328,3 +328,31 @@
 	}
 	assert.Greater(t, told, 20, "messages in 20 s: what a purse saves up is spent")
 }
+
+// A digest tells the same of every executor whether those that it leaves out are set at once or found idle when they are asked for.
+func TestLongListDigestLeavesOutWhoIsIdle(t *testing.T) {
+	s := settings(Safe, ScopeAll)
+	s.Siblings, s.Peers = 20, true
+	var both [2]*Dispatcher
+	for i, walk := range []int{walkWhole, walkNever} {
+		s.Walk = walk
+		d, _ := start(t, s, 300)
+		both[i] = d
+		for _, told := range []struct {
+			at   int64
+			busy []uint16
+		}{{10_000 * ms, []uint16{1, 2, 3, 200}}, {11_000 * ms, []uint16{2, 201}}} {
+			var counts []commons.Count
+			for _, w := range told.busy {
+				counts = append(counts, commons.Count{Worker: w, N: int(w%7) + 1})
+			}
+			require.True(t, d.Peer(told.at, 3, digest(d, told.at, []float64{5, 1}, counts...)))
+		}
+	}
+	for i := range both[0].list {
+		for _, at := range []int64{11_000 * ms, 11_500 * ms, 30_000 * ms} {
+			assert.Equal(t, both[0].inflight(at, both[0].list[i]), both[1].inflight(at, both[1].list[i]), "executor %d", i+1)
+		}
+	}
+	assert.Equal(t, both[0].others, both[1].others)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -80,6 +80,7 @@
 	roll           *turns.Roll    // who is there, and whose turn it is
 	sorted         []float64      // scratch for a middle
 	digestAt       int64
+	wholeAt        int64 // when the last whole digest came in a long list
 	logAt          int64
 	logLeft        float64
 }
@@ -714,9 +715,14 @@
 			d.roll.Told(now, m.Sum.Covered)
 		}
 		d.takeWords(now, m.Marks)
-		for _, w := range d.list {
-			if !m.Sum.Short {
-				w.others, w.othersAt, d.digestAt = 0, now, now
+		if !m.Sum.Short {
+			d.digestAt = now
+			if len(d.list) > d.set.Walk {
+				d.wholeAt = now
+			} else {
+				for _, w := range d.list {
+					w.others, w.othersAt = 0, now
+				}
 			}
 		}
 	}
@@ -731,12 +737,21 @@
 		}
 	}
 	d.sorted = d.sorted[:0]
-	for _, w := range d.list {
+	for _, w := range d.some() {
+		d.freshen(w)
 		d.sorted = append(d.sorted, w.others)
 	}
 	d.others = middle(d.sorted)
 }
 
+// freshen has w know that a whole digest has told nothing of it since: it is idle for others. In a long list that is found when it is
+// asked for, and not set at all that the digest leaves out.
+func (d *Dispatcher) freshen(w *worker) {
+	if w.othersAt < d.wholeAt {
+		w.others, w.othersAt = 0, d.wholeAt
+	}
+}
+
 // takeWords takes what a digest tells of workers whose calls fail or take long.
 func (d *Dispatcher) takeWords(now int64, marks []commons.Mark) {
 	if len(marks) == 0 {
