--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -779,14 +779,14 @@
 		if d, ok := capacityDims()[s.Of]; ok {
 			base = d.of(c.Base)
 		}
-		out[s.Name+"/"+s.Of] = figures.Slope{Curve: s.Fit, Base: base, Spread: s.Fit.Spread, Command: "oaklab run capacity --only " + s.Of, Text: s.Fit.String()}
+		out[s.Name+"/"+s.Of] = figures.Slope{Curve: s.Fit, Base: base, Spread: s.Fit.Spread, Command: "oaklab run capacity", Text: s.Fit.String()}
 	}
 	for _, r := range c.Runs {
 		if r.Section != largestAt || r.Partial != "" {
 			continue
 		}
 		for name, y := range r.Figures {
-			out[name+"/"+largestAt] = figures.Slope{Curve: figures.Constant(y), Command: "oaklab run capacity --only " + largestAt, Text: fmt.Sprintf("%.4g, one run", y)}
+			out[name+"/"+largestAt] = figures.Slope{Curve: figures.Constant(y), Command: "oaklab run capacity", Text: fmt.Sprintf("%.4g, one run", y)}
 		}
 	}
 	return out
