--- a/decide/long_test.go
+++ b/decide/long_test.go
@@ -198,7 +198,7 @@
 }
 
 // Found at full size: with lists taken for long from 129 executors on, the days of a release fell (roll 0.48 to 0.31, herd 0.90 to 0.66),
-// where old ones drain beside new ones: nothing of a choice's few looks goes to one that drains.
+// where old ones may drain beside new ones (the cause was reasoned, not played alone): no look goes to one that drains.
 func TestLongListLooksAtNoneThatDrains(t *testing.T) {
 	s := settings(Safe, ScopeAll)
 	s.Siblings = 300
