Hollow hosts end what is called off at once and give up lost orders, as the core does

Cause: a hollow host left a called-off attempt to land, never gave up an order to load, made any order to a box out of reach fail in 1 ms, and knew nothing of attempts that were not written.

Change: attempts and orders are flights, as the core's. One that is called off ends at once as cancelled, or as never written (moot) where its connection has not come up; so does an unwritten one whose call is over or whose executor drains, goes or starts anew. An order is given up after the limit of the settings, its end is shown to the list, and it meets what an attempt meets on its way. Work at the executor goes on. The two tests that stated the gaps are replaced by TestHostsEndWhatIsCalledOff and TestHostsGiveUpOrders: stricter, for both hosts must now do all alike, and a host with the gap put back must differ. TestHostsActAlike no longer ends attempts for the hollow host, and compares the ends of attempts by result too.

--- a/internal/lab/calibrate_test.go
+++ b/internal/lab/calibrate_test.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,11 +63,12 @@
 	listAt    time.Duration // when the list is first told
 	handshake bool          // the real host's connections come up within the way to the box, and only then may a call be written
 	stall     time.Duration // the core's loop stands still for so long, at its 100th call
-	keeps     bool          // the hollow host leaves what is called off to land, as it does by itself
 
 	// What a comparison must find.
 	offset time.Duration // of the hollow host's clock
 	lose   string        // an event that does not come: "call", "list" or "message", and at the real host "answer"
+	keeps  bool          // the hollow host lets what is called off go on
+	waits  bool          // it waits for orders for ever
 }
 
 // stage is a world with the host in dispatcher 0's place.
@@ -77,6 +79,7 @@
 	host    stageHost
 	actions []action
 	calls0  []*simCall // of dispatcher 0
+	ends    [decide.Results]int64
 	lost    bool
 }
 
@@ -168,8 +171,7 @@
 		w.nodes[n], err = w.node(n, p.seed, false)
 		require.NoError(t, err)
 		if n > 0 {
-			w.nodes[n].d, err = decide.New(w.now.UnixNano(), s.settingsOf(n), s.seedOf(n), peerNode{w.nodes[n], s})
-			require.NoError(t, err)
+			require.NoError(t, w.nodes[n].module(s.settingsOf(n), s.seedOf(n), peerNode{w.nodes[n], s}))
 		}
 	}
 	return s
@@ -280,23 +282,22 @@
 // hollowHost is the dispatcher in virtual time, with an ear at what the module orders.
 type hollowHost struct {
 	*simNode
-	s     *stage
-	opens map[string]*simOpen
-	sent  map[string]time.Time
-	on    map[string]decide.WorkerID
+	s *stage
 }
 
 func playHollow(t *testing.T, p play) *stage {
 	t.Helper()
 	s := newStage(t, p, bubbleStart.Add(p.offset))
-	h := &hollowHost{simNode: s.nodes[0], s: s, opens: map[string]*simOpen{}, sent: map[string]time.Time{}, on: map[string]decide.WorkerID{}}
-	var err error
-	h.d, err = decide.New(s.now.UnixNano(), s.settingsOf(0), s.seedOf(0), h)
-	require.NoError(t, err)
+	h := &hollowHost{simNode: s.nodes[0], s: s}
+	require.NoError(t, h.module(s.settingsOf(0), s.seedOf(0), h))
+	if p.waits {
+		h.limit = time.Hour
+	}
 	s.host = h
 	s.lay()
 	s.run(s.began.Add(s.span + stageEnd))
 	assert.Empty(t, h.open, "calls without an end")
+	s.ends = h.ends
 	return s
 }
 
@@ -315,27 +316,18 @@
 }
 
 func (h *hollowHost) Send(id string, w decide.WorkerID, until int64) {
-	o := h.open[id]
-	h.s.did("send %s #%d to %d", id, o.tries, w)
-	h.opens[id] = o
-	key := fmt.Sprint(id, "#", o.tries)
-	h.sent[key], h.on[key] = h.s.now, w
+	h.s.did("send %s #%d to %d", id, h.open[id].tries, w)
 	h.simNode.Send(id, w, until)
 }
 
-// Cancel ends the attempt, as the core does. The hollow host itself leaves it to land: TestHollowLeavesWhatIsCalledOff.
+// Cancel is told of, as at the core, where there is still something to call off.
 func (h *hollowHost) Cancel(id string, attempt int) {
-	h.s.did("cancel %s #%d", id, attempt)
-	h.simNode.Cancel(id, attempt)
-	fl, key := h.opens[id].flights[attempt], fmt.Sprint(id, "#", attempt)
-	if h.s.keeps || fl.over {
-		return
+	if fl := h.flights[simKey{id, attempt}]; fl != nil && !fl.over {
+		h.s.did("cancel %s #%d", id, attempt)
+	}
+	if !h.s.keeps {
+		h.simNode.Cancel(id, attempt)
 	}
-	fl.over = true
-	h.s.after(0, func() {
-		h.d.Outcome(h.s.now.UnixNano(), decide.Outcome{ID: id, Attempt: attempt, Worker: h.on[key], Result: decide.Cancelled,
-			Finished: h.open[id] == nil, RTT: int64(h.s.now.Sub(h.sent[key]))})
-	})
 }
 
 func (h *hollowHost) Refuse(id string, wait int64) {
@@ -412,6 +404,7 @@
 		look(h)
 	}
 	n := h.core.Counters()
+	s.ends = n.Ends
 	assert.Equal(t, n.Taken, n.Served+n.Refused+n.Failed+n.TimedOut, "calls without an end")
 	stop()
 	h.core.Close()
@@ -536,26 +529,32 @@
 	h.mu.Unlock()
 	number := 0
 	_, _ = fmt.Sscanf(c.name, "0.%d", &number)
+	var written atomic.Bool
 	h.put(8*number+a.N, func() {
 		h.s.did("send %s #%d to %d", a.Request.ID, a.N, a.Worker.ID)
-		h.depart(c, a, got)
+		h.depart(c, a, &written, got)
 	})
 	select {
 	case r := <-got:
 		return r
 	case <-ctx.Done():
 	}
-	switch context.Cause(ctx).Error() {
-	case "called off":
+	if context.Cause(ctx).Error() == "called off" {
 		h.did("cancel %s #%d", a.Request.ID, a.N)
-	case "revoked before anything was written":
-		return oakthread.Reply{Result: decide.Moot}
 	}
-	return oakthread.Reply{Result: decide.Timeout}
+	return overBy(&written)
+}
+
+// overBy is what the platform's client makes of an attempt or order that our side ended.
+func overBy(written *atomic.Bool) oakthread.Reply {
+	if written.Load() {
+		return oakthread.Reply{Result: decide.Timeout}
+	}
+	return oakthread.Reply{Result: decide.Moot}
 }
 
-// depart is what an attempt meets on its way, as simNode.Send has it.
-func (h *realHost) depart(c *simCall, a oakthread.Attempt, got chan<- oakthread.Reply) {
+// depart is what an attempt meets on its way, as simNode.Send has it: what comes up is asked for right before the first byte.
+func (h *realHost) depart(c *simCall, a oakthread.Attempt, written *atomic.Bool, got chan<- oakthread.Reply) {
 	w, x := h.s.simWorld, h.s.byID[a.Worker.ID]
 	land := func(r decide.Result, warm decide.Warmth, crowd int, rep []float64) {
 		if h.s.loses("answer") {
@@ -563,60 +562,57 @@
 		}
 		got <- oakthread.Reply{Result: r, Warmth: warm, Crowd: crowd, Report: rep}
 	}
-	lands := func(after time.Duration, r decide.Result) { w.after(after, func() { land(r, 0, 0, nil) }) }
+	begin := func() bool {
+		written.Store(a.Begin())
+		if !written.Load() {
+			land(decide.Moot, 0, 0, nil)
+		}
+		return written.Load()
+	}
+	up, failed := w.way(h.stub, x)
 	switch {
-	case !h.s.handshake && !a.Begin():
-		land(decide.Moot, 0, 0, nil)
-	case x.fate == refuses || x.fate == reused:
-		lands(2*simWay, decide.ConnectFailed)
-	case x.fate == vanishes:
-	case !w.reaches(h.stub, x):
-		lands(simProbe, decide.ConnectFailed)
-	default:
+	case !up:
+		w.after(failed, func() { land(decide.ConnectFailed, 0, 0, nil) })
+	case !h.s.handshake && !begin():
+	case x.fate != vanishes:
 		w.after(simWay, func() {
-			if h.s.handshake && !a.Begin() {
-				land(decide.Moot, 0, 0, nil)
-				return
+			if !h.s.handshake || begin() {
+				w.reach(h.stub, x, a.Request.ID, c, land)
 			}
-			w.reach(h.stub, x, a.Request.ID, &simOpen{call: c}, land)
 		})
 	}
 }
 
 func (h *realHost) Load(ctx context.Context, o oakthread.Order) oakthread.Reply {
 	got := make(chan oakthread.Reply, 1)
+	var written atomic.Bool
 	h.put(rankRest, func() {
 		h.s.did("load %d of %x at %d", o.Count, o.Func, o.Worker.ID)
 		w, x := h.s.simWorld, h.s.byID[o.Worker.ID]
-		loaded := func(after time.Duration, n int, r decide.Result) {
-			w.after(after, func() { got <- oakthread.Reply{Result: r, Copies: n} })
-		}
-		if !o.Begin() || x.fate != stays && x.fate != drains || !w.reaches(h.stub, x) {
-			loaded(2*simWay, 0, decide.ConnectFailed)
+		answered := func(n int, r decide.Result) { got <- oakthread.Reply{Result: r, Copies: n} }
+		up, failed := w.way(h.stub, x)
+		if !up {
+			w.after(failed, func() { answered(0, decide.ConnectFailed) })
 			return
 		}
-		w.after(simWay, func() {
-			j := &Job{Model: uint64(o.Func), Load: w.f.Load, Lanes: w.f.Lanes, Order: true}
-			j.Data = func() { loaded(simWay, 1, decide.OK) }
-			if x.box.Arrive(w.now, j) != Taken {
-				loaded(simWay, 0, decide.Full)
-				return
-			}
-			w.advance(x)
-		})
+		if written.Store(o.Begin()); !written.Load() {
+			answered(0, decide.Moot)
+		} else if x.fate != vanishes {
+			w.after(simWay, func() { w.order(x, o.Func, answered) })
+		}
 	})
 	select {
 	case r := <-got:
 		return r
 	case <-ctx.Done():
-		return oakthread.Reply{Result: decide.Timeout}
+		return overBy(&written)
 	}
 }
 
 func (h *realHost) Drop(_ context.Context, o oakthread.Order) {
 	h.put(rankRest, func() {
 		h.s.did("drop %x at %d", o.Func, o.Worker.ID)
-		h.s.byID[o.Worker.ID].box.Unload(uint64(o.Func))
+		h.s.drop(h.stub, h.s.byID[o.Worker.ID], o.Func)
 	})
 }
 
@@ -703,6 +699,7 @@
 // Guards against a hollow dispatcher that stands for nothing: whatever the module orders, both hosts do at the same time.
 func TestHostsActAlike(t *testing.T) {
 	total := map[string]int{}
+	var ends [decide.Results]int64
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			real, hollow := playBoth(t, play{seed: seed}, func(h *realHost) {
@@ -712,12 +709,19 @@
 			})
 			assert.Empty(t, firstApart(real.actions, hollow.actions))
 			assert.Empty(t, callsApart(real, hollow))
+			assert.Equal(t, real.ends, hollow.ends, "ends of attempts, by their result")
+			for r, n := range real.ends {
+				ends[r] += n
+			}
 			for k, n := range kinds(real.actions) {
 				total[k] += n
 			}
 		})
 	}
-	t.Log(total)
+	t.Log(total, ends)
+	for _, r := range []decide.Result{decide.OK, decide.Error, decide.Full, decide.ConnectFailed, decide.Cancelled} {
+		assert.Positive(t, ends[r], "no attempt ended so: %v", r)
+	}
 	for _, k := range []string{"send", "cancel", "refuse", "fail", "load", "drop", "tell", "log", "configure"} {
 		assert.Positive(t, total[k], "never done: %s", k)
 	}
@@ -734,6 +738,7 @@
 		"a lost call":                   func(p *play) { p.lose = "call" },
 		"a lost change of the list":     func(p *play) { p.lose = "list" },
 		"a second's messages lost":      func(p *play) { p.lose = "message" },
+		"what is called off goes on":    func(p *play) { p.keeps = true },
 		"other settings":                func(p *play) { p.settings = func(s *decide.Settings) { s.WastePrice, s.MaxAttempts = 0.3, 2 } },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -834,41 +839,132 @@
 	assert.Zero(t, x.ended.Sub(x.intended))
 }
 
-// Not by design, and the hollow host's to mend: what the module calls off goes on there until it lands, and nothing is told of
-// it before. The comparison ends it as the core does; this shows what that hides.
-func TestHollowLeavesWhatIsCalledOff(t *testing.T) {
-	apart := 0
-	for seed := range uint64(2) {
-		real, hollow := playBoth(t, play{seed: seed, keeps: true}, nil)
-		i := slices.IndexFunc(sorted(real.actions), func(a action) bool { return a.kind() == "cancel" })
-		require.GreaterOrEqual(t, i, 0)
-		cancelled := sorted(real.actions)[i].at
-		if d := only(real.actions, hollow.actions); len(d) > 0 {
-			apart++
-			assert.GreaterOrEqual(t, sorted(d)[0].at, cancelled)
+// What is called off ends at once at both hosts, and alike: as cancelled where it was written, as never written where its
+// connection had not come up. The work at the executor goes on.
+func TestHostsEndWhatIsCalledOff(t *testing.T) {
+	t.Run("written", func(t *testing.T) {
+		for seed := range uint64(2) {
+			p := play{seed: seed}
+			real, hollow := playBoth(t, p, nil)
+			assert.Empty(t, firstApart(real.actions, hollow.actions))
+			assert.Equal(t, real.ends, hollow.ends)
+			assert.Positive(t, hollow.ends[decide.Cancelled])
+			ran := 0
+			for i, c := range real.calls0 {
+				assert.Equal(t, c.ran, hollow.calls0[i].ran, "call %s: runs at executors", c.name)
+				ran = max(ran, c.ran)
+			}
+			assert.Greater(t, ran, 1, "nothing that was called off ran on")
+			p.keeps = true
+			left := playHollow(t, p)
+			assert.NotEmpty(t, firstApart(real.actions, left.actions), "a host that lets it go on")
+			assert.Zero(t, left.ends[decide.Cancelled])
 		}
+	})
+	// No connection comes up, and one call is on its way when something ends that. One alone: the core revokes several of one
+	// moment in no order.
+	const sent = 3 * time.Second
+	for name, c := range map[string]struct {
+		left time.Duration // until the call's deadline; 0: its class's
+		then func(*stage, *roster.Box)
+	}{
+		"its executor drains":     {then: func(_ *stage, b *roster.Box) { b.State = decide.Draining }},
+		"its executor has gone":   {then: func(_ *stage, b *roster.Box) { b.State = decide.Off }},
+		"its executor starts new": {then: func(s *stage, b *roster.Box) { b.Start = s.now }},
+		"its time is over":        {left: 100 * time.Millisecond},
+	} {
+		t.Run("not written, "+name, func(t *testing.T) {
+			script := func(s *stage) {
+				call := &simCall{class: 0, model: 77, intended: s.began.Add(sent), name: "0.999"}
+				if c.left > 0 {
+					call.intended = call.intended.Add(c.left + 200*time.Millisecond - s.f.Classes[0].GiveUp)
+				}
+				s.at(s.began.Add(sent), func() {
+					for _, x := range s.boxes {
+						x.fate = cutOff
+					}
+					s.host.arrive(call)
+				})
+				s.at(s.began.Add(sent+100*time.Millisecond), func() {
+					i := slices.IndexFunc(s.listed, func(b roster.Box) bool {
+						return slices.ContainsFunc(s.actions, func(a action) bool { return a.text == fmt.Sprintf("send 0.999.0 #0 to %d", b.ID) })
+					})
+					if require.GreaterOrEqual(t, i, 0); c.then != nil {
+						c.then(s, &s.listed[i])
+						s.tell(i)
+					}
+				})
+			}
+			real, hollow := playBoth(t, play{seed: 1, asked: 1, span: 4 * time.Second, steady: true, script: script}, nil)
+			assert.Empty(t, firstApart(real.actions, hollow.actions))
+			assert.Equal(t, real.ends, hollow.ends)
+			assert.Equal(t, int64(1), hollow.ends[decide.Moot])
+			assert.Zero(t, hollow.ends[decide.Cancelled]+hollow.ends[decide.Timeout])
+		})
 	}
-	assert.Positive(t, apart)
 }
 
-// Not by design either: an order that never ends is given up by the core after its limit, never by the hollow host.
-func TestHollowWaitsForOrdersForEver(t *testing.T) {
-	const limit = time.Second
-	first, real, _ := apartBy(t, play{seed: 1, asked: 1, span: 8 * time.Second, steady: true,
-		settings: func(s *decide.Settings) { s.OrderTimeout = int64(limit) },
-		script: func(s *stage) { // a function is served, forgotten and asked for again; its box loses the load
-			for i, at := range []time.Duration{time.Second, 6 * time.Second} {
-				c := &simCall{class: 0, model: 77, intended: s.began.Add(at), name: fmt.Sprintf("0.90%d", i)}
-				s.at(c.intended, func() { s.host.arrive(c) })
-			}
-			s.at(s.began.Add(6200*time.Millisecond), func() {
+// No script has the module call off, before its connection fails, what was not written; the platform's client proves that it never
+// ran (platform.failure), and so does the hollow host, when time or the module ends it.
+func TestHollowProvesWhatWasNotWritten(t *testing.T) {
+	for name, end := range map[string]func(*simNode){
+		"called off":  func(h *simNode) { h.Cancel("0.999.0", 0) },
+		"out of time": func(h *simNode) { h.flights[simKey{"0.999.0", 0}].timeout() },
+	} {
+		hollow := playHollow(t, play{seed: 1, asked: 1, span: 4 * time.Second, steady: true, script: func(s *stage) {
+			call := &simCall{class: 0, model: 77, intended: s.began.Add(3 * time.Second), name: "0.999"}
+			s.at(call.intended, func() {
 				for _, x := range s.boxes {
-					x.box = NewBox(s.f.Box, s.began.Add(-time.Hour))
+					x.fate = cutOff
 				}
+				s.host.arrive(call)
 			})
-		}}, nil)
-	assert.Contains(t, kinds(real.actions), "load")
-	assert.Contains(t, first, "real "+(6*time.Second+limit).String()+" ")
+			s.at(call.intended.Add(simProbe/2), func() { end(s.nodes[0]) })
+		}})
+		assert.Equal(t, int64(1), hollow.ends[decide.Moot], name)
+		assert.Zero(t, hollow.ends[decide.Cancelled]+hollow.ends[decide.Timeout], name)
+	}
+}
+
+// An order whose answer is lost is given up by both hosts at the same time, after its limit, and its call goes on.
+func TestHostsGiveUpOrders(t *testing.T) {
+	const limit = time.Second
+	for name, c := range map[string]struct {
+		at   time.Duration
+		lose func(s *stage, x *simBox)
+	}{
+		"its box starts anew":  {6200 * time.Millisecond, func(s *stage, x *simBox) { x.box = NewBox(s.f.Box, s.began.Add(-time.Hour)) }},
+		"its box has vanished": {5900 * time.Millisecond, func(_ *stage, x *simBox) { x.fate = vanishes }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := play{seed: 1, asked: 1, span: 8 * time.Second, steady: true,
+				settings: func(s *decide.Settings) { s.OrderTimeout = int64(limit) },
+				script: func(s *stage) { // a function is served, forgotten and asked for again; its box loses the load
+					for i, at := range []time.Duration{time.Second, 6 * time.Second} {
+						c := &simCall{class: 0, model: 77, intended: s.began.Add(at), name: fmt.Sprintf("0.90%d", i)}
+						s.at(c.intended, func() { s.host.arrive(c) })
+					}
+					s.at(s.began.Add(c.at), func() {
+						for _, x := range s.boxes {
+							c.lose(s, x)
+						}
+					})
+				}}
+			real, hollow := playBoth(t, p, nil)
+			assert.Empty(t, firstApart(real.actions, hollow.actions))
+			assert.Equal(t, real.ends, hollow.ends)
+			var loads []time.Duration
+			for _, a := range hollow.actions {
+				if a.kind() == "load" && a.at >= 6*time.Second {
+					loads = append(loads, a.at)
+				}
+			}
+			require.GreaterOrEqual(t, len(loads), 2)
+			assert.Equal(t, []time.Duration{6 * time.Second, 6*time.Second + limit}, loads[:2], "given up, and given elsewhere at once")
+			p.waits = true
+			assert.Contains(t, firstApart(real.actions, playHollow(t, p).actions), "real "+(6*time.Second+limit).String()+" ", "a host that waits for ever")
+		})
+	}
 }
 
 // Guards against figures of something else: what a process took is what it was made to take.
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -655,7 +655,7 @@
 	for _, id := range ids {
 		o := s.open[id]
 		delete(s.open, id)
-		h.after(0, func() { s.again(o.call, 200*time.Millisecond, len(o.flights) == 0) })
+		h.after(0, func() { s.again(o.call, 200*time.Millisecond, o.tries == 0) })
 	}
 	h.lives++
 }
@@ -854,6 +854,8 @@
 	h.queue = nil
 	for _, s := range h.nodes {
 		clear(s.open)
+		clear(s.flights)
+		s.orders = nil
 	}
 	live := func() float64 {
 		runtime.GC()
--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -5,8 +5,10 @@
 // never read a clock.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -167,7 +169,8 @@
 	cold     bool // it found no copy, or was held for one
 }
 
-// simNode is one dispatcher.
+// simNode is one dispatcher: the real list and the real module, before a host that does with what the module orders as the core
+// does, and the platform's client under it (core.go, internal/platform/fleet.go).
 type simNode struct {
 	w       *simWorld
 	n       int
@@ -175,20 +178,45 @@
 	d       *decide.Dispatcher
 	dead    bool
 	open    map[string]*simOpen
-	members map[decide.WorkerID]bool
+	flights map[simKey]*simFlight
+	orders  []*simFlight  // to load, as they were given; the first alone has a timer
+	given   int           // orders so far
+	limit   time.Duration // of an order
+	members map[decide.WorkerID]simMember
 	told    map[decide.WorkerID]time.Time // first refusal of a draining box
+	ends    [decide.Results]int64         // of attempts, as oakthread.Counters has them
 	meter   *meter                        // nil: nothing is measured
 }
 
+// simMember is what the host knows of an executor in the list.
+type simMember struct {
+	on    bool
+	start int64
+}
+
 type simOpen struct {
 	call     *simCall
 	began    time.Time
 	tries    int
 	deadline time.Time
-	flights  []*simFlight // by attempt
 }
 
-type simFlight struct{ over bool }
+type simKey struct {
+	id string // "": an order
+	n  int
+}
+
+// simFlight is an attempt or an order to load on its way. Whoever ends it first, answer, time or the module, ends it alone; what
+// the executor has of it goes on there. Of what is not begun nothing was written, so that its end proves that it never ran.
+type simFlight struct {
+	s           *simNode
+	key         simKey
+	worker      decide.WorkerID
+	sent        time.Time
+	begun, over bool
+	open        *simOpen      // nil: an order
+	fn          decide.FuncID // of an order
+}
 
 // settings are those of a dispatcher on the sockets, without peers.
 func (f *Figures) settings(n, siblings int) decide.Settings {
@@ -208,16 +236,23 @@
 }
 
 func (w *simWorld) node(n int, seed uint64, fresh bool) (*simNode, error) {
-	s := &simNode{w: w, n: n, open: map[string]*simOpen{}, members: map[decide.WorkerID]bool{}, told: map[decide.WorkerID]time.Time{}}
+	s := &simNode{w: w, n: n, open: map[string]*simOpen{}, flights: map[simKey]*simFlight{}, members: map[decide.WorkerID]simMember{}, told: map[decide.WorkerID]time.Time{}}
 	if w.hollow != nil {
 		s.meter = &w.hollow.meter
 	}
 	s.list = roster.New(roster.Config{Seed: seed + uint64(n), Siblings: len(w.nodes), MaxWait: 1500 * time.Millisecond, Fresh: fresh})
-	var err error
 	set := w.f.settings(n, len(w.nodes))
 	set.Peers, set.PeerPrice, set.Walk = w.messages, w.price, w.walk
-	s.d, err = decide.New(w.now.UnixNano(), set, seed^uint64(n)*0x9e3779b9, s)
-	return s, err
+	return s, s.module(set, seed^uint64(n)*0x9e3779b9, s)
+}
+
+// module makes the decision module; host is s, or a test's around it.
+func (s *simNode) module(set decide.Settings, seed uint64, host decide.Host) (err error) {
+	if s.limit = time.Duration(set.OrderTimeout); s.limit <= 0 {
+		s.limit = 10 * time.Second
+	}
+	s.d, err = decide.New(s.w.now.UnixNano(), set, seed, host)
+	return err
 }
 
 // flush carries out what the list ordered.
@@ -225,13 +260,25 @@
 	a := s.list.Take()
 	for _, p := range a.Publish {
 		var es []decide.Entry
+		old := s.members
 		if p.Kind != decide.RosterDelta {
-			clear(s.members)
+			s.members = make(map[decide.WorkerID]simMember, len(p.Boxes))
 		}
 		for _, b := range p.Boxes {
-			s.members[b.ID] = b.State == decide.On
+			m := simMember{b.State == decide.On, b.Start.UnixNano()}
+			if was, known := old[b.ID]; !m.on || known && was.start != m.start {
+				s.revoke(b.ID)
+			}
+			if s.members[b.ID] = m; b.State == decide.Off {
+				delete(s.members, b.ID)
+			}
 			es = append(es, decide.Entry{Worker: b.ID, Zone: b.Zone, Kind: b.Kind, Cell: b.Cell, State: b.State, Weight: b.Weight, Start: b.Start.UnixNano()})
 		}
+		for _, fl := range s.unbegun() {
+			if _, known := s.members[fl.worker]; !known {
+				fl.off(decide.Moot)
+			}
+		}
 		s.meter.begin(s.n, partList)
 		s.d.Roster(s.w.now.UnixNano(), p.Kind, es)
 		s.meter.end()
@@ -319,14 +366,126 @@
 	return w.hollow.home(n)
 }
 
+// end gives a call its one end. Of its attempts those that nothing was written of are revoked.
 func (s *simNode) end(id string, o *simOpen, served bool) {
 	delete(s.open, id)
+	for n := range o.tries {
+		if fl := s.flights[simKey{id, n}]; fl != nil && !fl.begun {
+			fl.off(decide.Moot)
+		}
+	}
 	if served {
 		o.call.served, o.call.ended = true, s.w.now
 		s.w.hollow.over(o.call)
 	}
 }
 
+// unbegun are the flights that nothing was written of, in an order of their own.
+func (s *simNode) unbegun() (out []*simFlight) {
+	for _, fl := range s.flights {
+		if !fl.begun && !fl.over {
+			out = append(out, fl)
+		}
+	}
+	slices.SortFunc(out, func(a, b *simFlight) int {
+		return cmp.Or(cmp.Compare(a.key.id, b.key.id), cmp.Compare(a.key.n, b.key.n))
+	})
+	return out
+}
+
+// revoke ends what is on its way to an executor that must get nothing new, as far as nothing of it was written.
+func (s *simNode) revoke(w decide.WorkerID) {
+	for _, fl := range s.unbegun() {
+		if fl.worker == w {
+			fl.off(decide.Moot)
+		}
+	}
+}
+
+// off ends a flight from this side, at once but not within the event at hand.
+func (fl *simFlight) off(r decide.Result) {
+	if fl.over {
+		return
+	}
+	if fl.over = true; !fl.begun {
+		r = decide.Moot
+	}
+	fl.s.w.after(0, func() { fl.landed(r, 0, 0, 0, nil) })
+}
+
+// land is an answer of the executor's, or the proof that there will be none; timeout the end of the time for it.
+func (fl *simFlight) land(r decide.Result, warm decide.Warmth, crowd, copies int, rep []float64) {
+	if !fl.over {
+		fl.over = true
+		fl.landed(r, warm, crowd, copies, rep)
+	}
+}
+
+func (fl *simFlight) timeout() {
+	r := decide.Timeout
+	if !fl.begun {
+		r = decide.Moot
+	}
+	fl.land(r, 0, 0, 0, nil)
+}
+
+func (fl *simFlight) landed(r decide.Result, warm decide.Warmth, crowd, copies int, rep []float64) {
+	s, now := fl.s, fl.s.w.now
+	if s.dead {
+		return
+	}
+	delete(s.flights, fl.key)
+	if o := fl.open; o != nil && r == decide.OK && s.open[fl.key.id] == o {
+		s.end(fl.key.id, o, true)
+		s.w.tally(&s.w.goods)
+	}
+	if sign, tells := kept.Sign(r, false); tells && (fl.open != nil || r != decide.Timeout) { // a load may take longer than we wait
+		if fl.open != nil && sign == roster.Answered && warm == decide.WarmHit && now.Sub(fl.sent) > s.w.f.Classes[fl.open.call.class].Aim/2 {
+			sign = roster.Slow
+		}
+		s.list.Observe(now, fl.worker, sign)
+		s.flush()
+	}
+	s.meter.begin(s.n, partChoice)
+	if fl.open == nil {
+		s.d.Loaded(now.UnixNano(), fl.worker, fl.fn, copies, r)
+	} else {
+		s.ends[r]++
+		s.d.Outcome(now.UnixNano(), decide.Outcome{ID: fl.key.id, Attempt: fl.key.n, Worker: fl.worker, Result: r, Finished: s.open[fl.key.id] == nil,
+			Warmth: warm, Crowd: crowd, RTT: int64(now.Sub(fl.sent)), Report: rep})
+	}
+	s.meter.end()
+}
+
+// way is what a request to an executor meets: whether anything of it is written, and if not, when that is known. Where a
+// connection stood, what is written to a box that has vanished is never answered.
+func (w *simWorld) way(s *simNode, x *simBox) (written bool, failed time.Duration) {
+	switch {
+	case x.fate == refuses || x.fate == reused:
+		return false, 2 * simWay
+	case x.fate != vanishes && !w.reaches(s, x):
+		return false, simProbe
+	}
+	return true, 0
+}
+
+// depart sends a flight on its way.
+func (fl *simFlight) depart(arrive func(x *simBox)) {
+	s, x := fl.s, fl.s.w.byID[fl.worker]
+	s.flights[fl.key] = fl
+	written, failed := s.w.way(s, x)
+	fl.begun = written
+	switch {
+	case !written:
+		if fl.open != nil && failed == simProbe {
+			s.w.unreached++
+		}
+		s.w.after(failed, func() { fl.land(decide.ConnectFailed, 0, 0, 0, nil) })
+	case x.fate != vanishes:
+		s.w.after(simWay, func() { arrive(x) })
+	}
+}
+
 // Send and the other methods are decide.Host.
 func (s *simNode) Send(id string, w decide.WorkerID, until int64) {
 	s.meter.pause()
@@ -336,56 +495,34 @@
 		return
 	}
 	o.call.cold = o.call.cold || o.tries == 0 && s.w.now.After(o.began)
-	n, sent := o.tries, s.w.now
+	n := o.tries
 	o.tries++
 	s.w.tally(&s.w.sends)
-	fl := &simFlight{}
-	o.flights = append(o.flights, fl)
-	land := func(r decide.Result, warm decide.Warmth, crowd int, rep []float64) {
-		if fl.over || s.dead {
-			return
-		}
-		fl.over = true
-		if r == decide.OK && s.open[id] == o {
-			s.end(id, o, true)
-			s.w.tally(&s.w.goods)
-		}
-		if sign, tells := kept.Sign(r, false); tells {
-			if sign == roster.Answered && warm == decide.WarmHit && s.w.now.Sub(sent) > s.w.f.Classes[o.call.class].Aim/2 {
-				sign = roster.Slow
+	if !s.members[w].on { // it is not made
+		s.w.after(0, func() {
+			if s.dead {
+				return
 			}
-			s.list.Observe(s.w.now, w, sign)
-			s.flush()
-		}
-		s.meter.begin(s.n, partChoice)
-		s.d.Outcome(s.w.now.UnixNano(), decide.Outcome{ID: id, Attempt: n, Worker: w, Result: r, Finished: s.open[id] == nil, Warmth: warm, Crowd: crowd,
-			RTT: int64(s.w.now.Sub(sent)), Report: rep})
-		s.meter.end()
-	}
-	x := s.w.byID[w]
-	if !s.members[w] {
-		s.w.after(0, func() { land(decide.ConnectFailed, 0, 0, nil) })
-		return
-	}
-	s.w.at(o.deadline, func() { land(decide.Timeout, 0, 0, nil) })
-	switch x.fate {
-	case refuses, reused:
-		s.w.after(2*simWay, func() { land(decide.ConnectFailed, 0, 0, nil) })
-		return
-	case vanishes:
+			s.ends[decide.ConnectFailed]++
+			s.meter.begin(s.n, partChoice)
+			s.d.Outcome(s.w.now.UnixNano(), decide.Outcome{ID: id, Attempt: n, Worker: w, Result: decide.ConnectFailed, Finished: s.open[id] != o})
+			s.meter.end()
+		})
 		return
 	}
-	if !s.w.reaches(s, x) {
-		s.w.unreached++
-		s.w.after(simProbe, func() { land(decide.ConnectFailed, 0, 0, nil) })
-		return
+	fl := &simFlight{s: s, key: simKey{id, n}, worker: w, sent: s.w.now, open: o}
+	end := o.deadline
+	if t := time.Unix(0, until); until > 0 && t.Before(end) {
+		end = t
 	}
-	s.w.after(simWay, func() { s.w.reach(s, x, id, o, land) })
+	s.w.at(end, fl.timeout)
+	fl.depart(func(x *simBox) {
+		s.w.reach(s, x, id, o.call, func(r decide.Result, warm decide.Warmth, crowd int, rep []float64) { fl.land(r, warm, crowd, 0, rep) })
+	})
 }
 
 // reach is a call's coming to a box.
-func (w *simWorld) reach(s *simNode, x *simBox, id string, o *simOpen, land func(decide.Result, decide.Warmth, int, []float64)) {
-	c := o.call
+func (w *simWorld) reach(s *simNode, x *simBox, id string, c *simCall, land func(decide.Result, decide.Warmth, int, []float64)) {
 	if x.failing {
 		x.spoilt++
 		w.take(x)
@@ -462,13 +599,12 @@
 	})
 }
 
+// Cancel ends a wait; the work at the executor goes on.
 func (s *simNode) Cancel(id string, attempt int) {
-	o := s.open[id]
-	if o == nil {
-		return // its ends no longer matter to anyone but the module, which has forgotten it
-	}
-	if attempt < len(o.flights) {
-		o.flights[attempt].over = true
+	s.meter.pause()
+	defer s.meter.resume()
+	if fl := s.flights[simKey{id, attempt}]; fl != nil {
+		fl.off(decide.Cancelled)
 	}
 }
 
@@ -492,31 +628,66 @@
 func (s *simNode) Load(id decide.WorkerID, f decide.FuncID, count int) {
 	s.meter.pause()
 	defer s.meter.resume()
-	x := s.w.byID[id]
-	loaded := func(n int, r decide.Result) {
-		if !s.dead {
-			s.meter.begin(s.n, partChoice)
-			s.d.Loaded(s.w.now.UnixNano(), id, f, n, r)
-			s.meter.end()
-		}
-	}
-	if x.fate != stays && x.fate != drains || !s.w.reaches(s, x) {
-		s.w.after(2*simWay, func() { loaded(0, decide.ConnectFailed) })
+	if m, known := s.members[id]; !known || count > 0 && !m.on {
+		s.w.after(0, func() {
+			if !s.dead {
+				s.meter.begin(s.n, partChoice)
+				s.d.Loaded(s.w.now.UnixNano(), id, f, 0, decide.Full)
+				s.meter.end()
+			}
+		})
 		return
 	}
-	s.w.after(simWay, func() {
-		j := &Job{Model: uint64(f), Load: s.w.f.Load, Lanes: s.w.f.Lanes, Order: true}
-		j.Data = func() { s.w.after(simWay, func() { loaded(1, decide.OK) }) }
-		if x.box.Arrive(s.w.now, j) != Taken {
-			s.w.after(simWay, func() { loaded(0, decide.Full) })
+	s.given++
+	fl := &simFlight{s: s, key: simKey{n: s.given}, worker: id, sent: s.w.now, fn: f}
+	if s.orders = append(s.orders, fl); len(s.orders) == 1 {
+		s.w.after(s.limit, s.giveUp)
+	}
+	fl.depart(func(x *simBox) {
+		s.w.order(x, f, func(copies int, r decide.Result) { fl.land(r, 0, 0, copies, nil) })
+	})
+}
+
+// giveUp ends the orders that have had their time.
+func (s *simNode) giveUp() {
+	for ; len(s.orders) > 0; s.orders = s.orders[1:] {
+		fl := s.orders[0]
+		if due := fl.sent.Add(s.limit); !fl.over && due.After(s.w.now) {
+			s.w.at(due, s.giveUp)
 			return
 		}
-		s.w.hollow.loaded(j)
-		s.w.advance(x)
-	})
+		fl.timeout()
+	}
+	s.orders = nil
+}
+
+// order is an order's coming to a box, and its answer's way back.
+func (w *simWorld) order(x *simBox, f decide.FuncID, answered func(copies int, r decide.Result)) {
+	j := &Job{Model: uint64(f), Load: w.f.Load, Lanes: w.f.Lanes, Order: true}
+	j.Data = func() { w.after(simWay, func() { answered(1, decide.OK) }) }
+	if x.box.Arrive(w.now, j) != Taken {
+		w.after(simWay, func() { answered(0, decide.Full) })
+		return
+	}
+	w.hollow.loaded(j)
+	w.advance(x)
+}
+
+func (s *simNode) Drop(id decide.WorkerID, f decide.FuncID) {
+	s.meter.pause()
+	defer s.meter.resume()
+	if _, known := s.members[id]; known {
+		s.w.drop(s, s.w.byID[id], f)
+	}
+}
+
+// drop has a box unload a function, where that comes there.
+func (w *simWorld) drop(s *simNode, x *simBox, f decide.FuncID) {
+	if written, _ := w.way(s, x); written && x.fate != vanishes {
+		w.after(simWay, func() { x.box.Unload(uint64(f)) })
+	}
 }
 
-func (s *simNode) Drop(id decide.WorkerID, f decide.FuncID) { s.w.byID[id].box.Unload(uint64(f)) }
 func (s *simNode) Probe(id decide.WorkerID) {
 	s.w.after(2*simWay, func() { s.d.Probed(s.w.now.UnixNano(), id, decide.OK, int64(2*simWay), nil) })
 }
