Slopes know a shape that saturates, taken only where it foretells held-out sizes better

Cause: what fills up as calls grow, as the time to read a report does, had no shape: a line foretold it far too high.

Change: A + B (1 - exp(-n/C)). It is held against the larger sizes, each foretold from the sizes below it alone, at least four; it is taken where it is off by less than 0.1 there, the simplest other shape by 1.5 times as much and by more than noise explains, and its bend lies within the sizes. What bends beyond all that was measured is foretold as before, and fails.

--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -60,7 +60,7 @@
 	square := func(x float64) float64 { return x * x }
 	ms, _, _, err := means(points(square, 0.02, 1, sizes...))
 	require.NoError(t, err)
-	line := Linear.fit(ms)
+	line := Linear.fit(ms, 0)
 	line.Spread = 5 // however far its points lie
 	assert.False(t, line.Within(4800, square(4800)))
 
@@ -90,6 +90,56 @@
 	assert.LessOrEqual(t, grown, 5)
 }
 
+// calls are the sizes at which a figure that fills up is measured.
+var calls = []float64{5, 10, 20, 50, 100}
+
+func TestSaturatingIsFoundAgain(t *testing.T) {
+	law := func(x float64) float64 { return 1500 + 26000*(1-math.Exp(-x/40)) }
+	for seed := range uint64(20) {
+		f, err := Choose(points(law, 0.02, seed, calls...))
+		require.NoError(t, err)
+		require.Equal(t, Saturating, f.Shape, "seed %d: %v", seed, f)
+		assert.InEpsilon(t, 40, f.C, 0.25, "%v", f)
+		assert.True(t, f.Within(200, law(200)), "seed %d: %v foretells %g, it is %g", seed, f, f.At(200), law(200))
+		assert.False(t, f.Within(200, 2*law(200)), "it can fail")
+	}
+}
+
+// Guards against a shape with a figure more that is taken because it fits closer: of laws that do not bend it is not taken, with
+// noise neither, nor where too few sizes are left to hold it against.
+func TestSaturatingIsTakenOnlyWhereItForetells(t *testing.T) {
+	taken := 0
+	for _, of := range laws() {
+		for _, noise := range []float64{0, 0.02, 0.1, 0.3} {
+			for seed := range uint64(25) {
+				for _, xs := range [][]float64{sizes, calls, {5, 10, 20, 50, 100, 200}} {
+					f, err := Choose(points(of, noise, seed, xs...))
+					require.NoError(t, err)
+					if f.Shape == Saturating {
+						taken++
+					}
+				}
+			}
+		}
+	}
+	assert.LessOrEqual(t, taken, 20, "of 1,500")
+
+	law := func(x float64) float64 { return 26000 * (1 - math.Exp(-x/40)) }
+	f, err := Choose(points(law, 0, 1, 5, 20, 50, 100))
+	require.NoError(t, err)
+	assert.NotEqual(t, Saturating, f.Shape, "four sizes: none can be held out")
+	// It bends beyond all that was measured: nothing here can know, and the prediction fails.
+	late := func(x float64) float64 { return 400 + 9*min(x, 110) }
+	f, err = Choose(points(late, 0.01, 1, calls...))
+	require.NoError(t, err)
+	assert.Equal(t, Linear, f.Shape)
+	assert.False(t, f.Within(200, late(200)), "%v", f)
+	// A figure that falls again is no saturation either.
+	f, err = Choose(points(func(x float64) float64 { return x * math.Exp(-x/30) }, 0, 1, calls...))
+	require.NoError(t, err)
+	assert.NotEqual(t, Saturating, f.Shape)
+}
+
 // A figure that is 0 at first must not outweigh those that are not.
 func TestZeroesWeighAsTheSmallest(t *testing.T) {
 	f, err := Choose([]Point{{120, 0, 1}, {600, 5000, 1}, {1200, 11000, 1}, {2400, 23000, 1}})
@@ -139,6 +189,16 @@
 		assert.True(t, ok)
 		assert.Zero(t, x, "used up at any size")
 	}
+	full := Fit{Shape: Saturating, A: 10, B: 90, C: 40}
+	for _, at := range []float64{3, 40, 120} {
+		x, ok := full.Crosses(full.At(at))
+		assert.True(t, ok)
+		assert.InEpsilon(t, at, x, 1e-6)
+	}
+	for _, budget := range []float64{100, 101} {
+		_, ok := full.Crosses(budget)
+		assert.False(t, ok, "it never has more than 100")
+	}
 	_, ok := Fit{Shape: Constant, A: 5}.Crosses(6)
 	assert.False(t, ok)
 	_, ok = Fit{Shape: Linear, A: 5}.Crosses(6)
@@ -154,8 +214,13 @@
 	assert.Equal(t, "1.23e+03 + 0.46 n log n (n 120..9600, spread 0.072)", f.String())
 	assert.Equal(t, "7 (n 3..300, spread 0)", Fit{A: 7, From: 3, To: 300}.String())
 	assert.Equal(t, "2 n^2 (n 3..300, spread 0)", Fit{Shape: Quadratic, B: 2, From: 3, To: 300}.String())
-	raw, err := json.Marshal(f)
+	assert.Equal(t, "7 + 90 (1 - exp(-n/40)) (n 5..100, spread 0)", Fit{Shape: Saturating, A: 7, B: 90, C: 40, From: 5, To: 100}.String())
+	raw, err := json.Marshal(Fit{Shape: Saturating, C: 40})
+	require.NoError(t, err)
+	assert.Contains(t, string(raw), `"c":40`)
+	raw, err = json.Marshal(f)
 	require.NoError(t, err)
+	assert.NotContains(t, string(raw), `"c":`)
 	assert.Contains(t, string(raw), `"shape":"n log n"`)
 	assert.Equal(t, "unknown", Shape(99).String())
 }
