--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -38,6 +38,8 @@
 	capacityCSV  = "capacity.csv"    // beside the plots: a line for each figure of each run
 	choiceAt     = "choice"          // the section that sets the walk of the whole list beside the program
 	largestAt    = "largest"         // and that of the largest fleet
+	letterAt     = "letter"          // that of the letter's dispatchers and calls
+	zipfAt       = "zipf"            // that of functions drawn by a Zipf law
 	wordsAt      = "words"           // the dimension that has no runs of its own
 	serviceAt    = "service"         // the section of busy fleets, with the walk of the whole list and without
 	faultsAt     = "faults"          // that of faults at size
@@ -121,6 +123,9 @@
 	walks   []int
 	largest HollowSize
 
+	letter    HollowSize // without dispatchers: no such section
+	zipf      HollowSize // the same; but for its exponent, which is one of these
+	exponents []float64
 	service   []serviceFleet // busy fleets, none: no such section
 	faults    HollowSize     // without dispatchers: no such section
 	calibrate bool
@@ -142,6 +147,12 @@
 		out = append(out, d.name)
 	}
 	out = append(out, wordsAt, choiceAt, largestAt)
+	if p.letter.Dispatchers > 0 {
+		out = append(out, letterAt)
+	}
+	if p.zipf.Dispatchers > 0 {
+		out = append(out, zipfAt)
+	}
 	if len(p.service) > 0 {
 		out = append(out, serviceAt)
 	}
@@ -156,17 +167,22 @@
 
 // planCapacity is the experiment's plan. Calls a second at each dispatcher are fewer than the 200 of the letter, so that many
 // dispatchers fit into one process; calls are a dimension of their own, up to those 200. The largest fleet has the base's
-// calls and list events, so that its prediction goes over three sizes alone. Messages are at their least price: at a higher one
+// calls and list events, so that its prediction goes over three sizes alone; that of the letter's calls has these moved too, for as
+// long as some two minutes of one core bear. Messages are at their least price: at a higher one
 // the purse, not the size, bounds what is told.
 func planCapacity(o Options) capacityPlan {
-	p := capacityPlan{seeds: []uint64{o.Seed, o.Seed + 1}, walks: []int{120, 300, 600, 1_200, 2_400, 9_600},
-		base:    HollowSize{Dispatchers: 60, Executors: 300, Functions: 4_800, Calls: 10, ListEvents: 1, Span: 6 * time.Second, PeerPrice: peerPrice},
-		choice:  HollowSize{Dispatchers: 4, Functions: 48_000, Calls: 50, Span: 8 * time.Second, PeerPrice: peerPrice},
-		largest: HollowSize{Dispatchers: 1_900, Executors: 960, Functions: 48_000, Calls: 10, ListEvents: 1, Span: 4 * time.Second, PeerPrice: peerPrice},
+	p := capacityPlan{seeds: []uint64{o.Seed, o.Seed + 1, o.Seed + 2}, walks: []int{120, 300, 600, 1_200, 2_400, 9_600},
+		exponents: []float64{0, 0.4, 0.8, 1, 1.2},
+		base:      HollowSize{Dispatchers: 60, Executors: 300, Functions: 4_800, Calls: 10, ListEvents: 1, Span: 6 * time.Second, PeerPrice: peerPrice},
+		choice:    HollowSize{Dispatchers: 4, Functions: 48_000, Calls: 50, Span: 8 * time.Second, PeerPrice: peerPrice},
+		largest:   HollowSize{Dispatchers: 1_900, Executors: 960, Functions: 48_000, Calls: 10, ListEvents: 1, Span: 4 * time.Second, PeerPrice: peerPrice},
 	}
 	if !o.Quick {
+		p.letter = p.largest
+		p.letter.Calls, p.letter.WarmCalls, p.letter.Span = 200, 10, time.Second
+		p.zipf = HollowSize{Dispatchers: 60, Executors: 960, Functions: 48_000, Calls: 50, Span: 6 * time.Second, PeerPrice: peerPrice}
 		p.service = []serviceFleet{{24, 120, noWalk}, {80, 120, noWalk}, {300, 120, noWalk}, {1_000, 400, 0}}
-		p.faults = HollowSize{Dispatchers: 300, Executors: 300, Functions: 12_000, Calls: 10, Span: 10 * time.Second, PeerPrice: peerPrice}
+		p.faults = HollowSize{Dispatchers: 1_000, Executors: 300, Functions: 12_000, Calls: 10, Span: 8 * time.Second, PeerPrice: peerPrice}
 		p.calibrate = true
 		p.dim("dispatchers", 30, 60, 120, 240, 480, 960)
 		p.dim("executors", 260, 300, 480, 960, 1_920, 3_840) // all are too long to be walked, as the letter's are
@@ -179,8 +195,11 @@
 	p.base = HollowSize{Dispatchers: 24, Executors: 300, Functions: 1_200, Calls: 5, ListEvents: 1, Span: 4 * time.Second, PeerPrice: peerPrice}
 	p.choice.Calls, p.choice.Span = 10, 2*time.Second
 	p.largest = HollowSize{Dispatchers: 300, Executors: 480, Functions: 12_000, Calls: 5, ListEvents: 1, Span: 4 * time.Second, PeerPrice: peerPrice}
+	p.letter = HollowSize{Dispatchers: 120, Executors: 480, Functions: 12_000, Calls: 40, WarmCalls: 5, ListEvents: 1, Span: 2 * time.Second, PeerPrice: peerPrice}
+	p.exponents = []float64{0, 0.8, 1.2}
+	p.zipf = HollowSize{Dispatchers: 24, Executors: 300, Functions: 12_000, Calls: 10, Span: 2 * time.Second, PeerPrice: peerPrice}
 	p.dim("dispatchers", 12, 24, 48, 96, 192)
-	p.dim("executors", 260, 300, 480, 960, 1_920)
+	p.dim("executors", 260, 300, 600, 1_200, 2_600)
 	p.dim("functions", 600, 1_200, 2_400, 6_000, 12_000)
 	p.dim("list", 30, 60, 120, 240, 480)
 	p.dim("calls", 2, 5, 10, 20, 40)
@@ -223,7 +242,7 @@
 	Base    HollowSize       `json:"base"`
 	Runs    []CapacityRun    `json:"runs"`
 	Slopes  []*CapacitySlope `json:"slopes"`
-	Largest []*CapacitySlope `json:"largest"` // predictions from all slopes together; no points of their own
+	Largest []*CapacitySlope `json:"largest"` // predictions of large fleets from all slopes together; no points of their own
 }
 
 // hollowRunner is HollowRun, or a test's.
@@ -306,7 +325,7 @@
 	for _, section := range []struct {
 		name string
 		run  func(context.Context) error
-	}{{choiceAt, c.walks}, {serviceAt, c.service}, {faultsAt, c.faults}, {largestAt, c.largest}, {calibrateAt, c.calibration}} {
+	}{{choiceAt, c.walks}, {serviceAt, c.service}, {zipfAt, c.zipf}, {faultsAt, c.faults}, {largestAt, c.largest}, {letterAt, c.letter}, {calibrateAt, c.calibration}} {
 		if !slices.Contains(want, section.name) {
 			continue
 		}
@@ -666,39 +685,75 @@
 	return nil
 }
 
-// largest foretells the largest fleet from all slopes together, and runs it, with the first seed. It is made smaller until it
-// fits the memory.
-func (c *capacity) largest(ctx context.Context) error {
-	size := c.plan.largest
+// zipf draws functions by Zipf laws of other exponents; 0: evenly, as all other sections do. What falls with it is no slope, and
+// none is foretold.
+func (c *capacity) zipf(ctx context.Context) error {
+	for _, x := range c.plan.exponents {
+		size := c.plan.zipf
+		size.Zipf = x
+		var runs []map[string]float64
+		for _, seed := range c.plan.seeds {
+			f, err := c.run(ctx, zipfAt, size, seed)
+			if err != nil {
+				return err
+			}
+			runs = append(runs, f)
+			c.rep.Most(fmt.Sprintf("zipf, exponent %g, seed %d: path-books twice, late sends, boxes pushed over, calls without an end", x, seed),
+				f["twice"]+f["late"]+f["fallen"]+f["open"], 0)
+		}
+		for _, figure := range zipfFigures() {
+			if y := meanOf(runs, figure); !math.IsNaN(y) {
+				c.rep.Row(fmt.Sprintf("zipf, exponent %g: %s", x, figure), "", math.NaN(), y)
+			}
+		}
+	}
+	return nil
+}
+
+// zipfFigures are what popularity bears on.
+func zipfFigures() []string {
+	return []string{"bytes", "messages.in", "cpu.choice", "cpu.read", "loads", "heap", "worth", "unserved", "p99.cold"}
+}
+
+// largest is the largest fleet, at the base's calls; letter that with the letter's calls.
+func (c *capacity) largest(ctx context.Context) error { return c.fleet(ctx, largestAt, c.plan.largest) }
+func (c *capacity) letter(ctx context.Context) error  { return c.fleet(ctx, letterAt, c.plan.letter) }
+
+// fleet foretells a large fleet from all slopes together, and runs it, with the first seed. It is made smaller until it fits the
+// memory.
+func (c *capacity) fleet(ctx context.Context, section string, want HollowSize) error {
+	size := want
 	for tried := size; ; tried.Dispatchers -= max(1, tried.Dispatchers/20) {
 		size = tried
 		if err := tried.check(); !errors.Is(err, ErrHollowMemory) || tried.Dispatchers <= 1 {
 			break
 		}
 	}
-	if size.Dispatchers < c.plan.largest.Dispatchers {
-		c.o.Log("largest: %d dispatchers, not %d: more do not fit the memory", size.Dispatchers, c.plan.largest.Dispatchers)
+	if size.Dispatchers < want.Dispatchers {
+		c.o.Log("%s: %d dispatchers, not %d: more do not fit the memory", section, size.Dispatchers, want.Dispatchers)
 	}
 	for _, d := range c.plan.dims {
 		if _, err := c.fits(ctx, d); err != nil {
 			return err
 		}
 	}
+	var told []*CapacitySlope
 	for i, f := range capacityFigures() {
-		s := &CapacitySlope{Series: slope.Series{Name: f.name, Unit: f.unit, Of: largestAt}, Budget: f.budget, UsedUp: Figure(math.NaN()), timed: f.timed}
+		s := &CapacitySlope{Series: slope.Series{Name: f.name, Unit: f.unit, Of: section}, Budget: f.budget, UsedUp: Figure(math.NaN()), timed: f.timed}
 		if s.Foretold, s.Fault = c.combine(i, f.product, size); s.Foretold != nil {
 			c.o.Log("foretold at %s: %s %.4g %s", &size, s.Name, s.Foretold.Y, s.Unit)
 		}
-		c.detail.Largest = append(c.detail.Largest, s)
+		told = append(told, s)
 	}
-	f, err := c.run(ctx, largestAt, size, c.plan.seeds[0])
+	c.detail.Largest = append(c.detail.Largest, told...)
+	f, err := c.run(ctx, section, size, c.plan.seeds[0])
 	if err != nil {
 		return err
 	}
 	name := func(s string) string {
-		return fmt.Sprintf("largest, %d dispatchers, %d executors: %s", size.Dispatchers, size.Executors, s)
+		return fmt.Sprintf("%s, %d dispatchers, %d executors: %s", section, size.Dispatchers, size.Executors, s)
 	}
-	for _, s := range c.detail.Largest {
+	for _, s := range told {
 		y, ok := f[s.Name]
 		if !ok {
 			y = math.NaN()
@@ -714,6 +769,7 @@
 			c.rep.Row(name(s), "", math.NaN(), y)
 		}
 	}
+	c.rep.Most(name("path-books twice, late sends, boxes pushed over, calls without an end"), f["twice"]+f["late"]+f["fallen"]+f["open"], 0)
 	return nil
 }
 
@@ -813,7 +869,7 @@
 			fmt.Fprintf(t, "over %s\tslope\tbudget used up at\tforetold at\t\troom\tmeasured\t\n", unit)
 		}
 		fit := s.String()
-		if s.Of == largestAt {
+		if s.Of == largestAt || s.Of == letterAt {
 			fit = "all slopes together"
 		}
 		fmt.Fprintf(t, "  %s, %s\t%s\t%s\t", s.Name, s.Unit, fit, s.UsedUp)
@@ -841,7 +897,7 @@
 		return nil, fmt.Errorf("capacity: %w", err)
 	}
 	c.table = csv.NewWriter(file)
-	err = c.lines([]string{"section", "seed", "before", "dispatchers", "executors", "functions", "calls", "list_events", "span_s", "partial", "figure", "value"})
+	err = c.lines([]string{"section", "seed", "before", "dispatchers", "executors", "functions", "calls", "list_events", "span_s", "zipf", "fault", "partial", "figure", "value"})
 	return file, err
 }
 
@@ -859,7 +915,7 @@
 	for _, name := range names {
 		lines = append(lines, []string{r.Section, strconv.FormatUint(r.Seed, 10), strconv.FormatBool(r.Size.Before), strconv.Itoa(r.Size.Dispatchers),
 			strconv.Itoa(r.Size.Executors), strconv.Itoa(r.Size.Functions), number(r.Size.Calls), number(r.Size.ListEvents), number(r.Size.Span.Seconds()),
-			r.Partial, name, number(r.Figures[name])})
+			number(r.Size.Zipf), r.Size.Fault, r.Partial, name, number(r.Figures[name])})
 	}
 	return c.lines(lines...)
 }
--- a/internal/lab/capacity_test.go
+++ b/internal/lab/capacity_test.go
@@ -203,6 +203,64 @@
 	assert.Equal(t, -1, log.index("choice:"), "only what was asked for, and the slopes that it needs")
 }
 
+// The letter's calls are foretold before they are run, from all slopes with calls among them, and can fail; of Zipf laws each
+// exponent is run with each seed, and shown.
+func TestCapacityLetterAndZipf(t *testing.T) {
+	plan := tinyPlan()
+	plan.seeds = []uint64{1, 2}
+	plan.letter = plan.largest
+	plan.letter.Calls, plan.letter.WarmCalls = 40, 5
+	plan.zipf, plan.exponents = plan.choice, []float64{0, 1}
+	plan.zipf.Executors = 20
+	for name, extra := range map[string]float64{"as the fits have it": 0, "otherwise": 100} {
+		log, first, zipfs := lines{}, -1, 0
+		rep, err := runCapacity(t.Context(), Options{Seed: 1, Log: log.log, Only: "letter,zipf"}, plan, func(ctx context.Context, s HollowSize, seed uint64) (*HollowResult, error) {
+			if s == plan.letter {
+				first = len(log)
+				return fakeWorld(extra, nil)(ctx, s, seed)
+			}
+			if s.Functions == plan.zipf.Functions && s.Dispatchers == plan.zipf.Dispatchers {
+				zipfs++
+				return &HollowResult{Figures: map[string]float64{"loads": 1 - s.Zipf/2, "twice": s.Zipf}}, nil
+			}
+			return fakeWorld(0, nil)(ctx, s, seed)
+		})
+		require.NoError(t, err)
+		assert.Equal(t, 4, zipfs)
+		told := log.index("foretold at 50 dispatchers, 60 executors, 2000 functions at 40 calls/s: heap")
+		require.GreaterOrEqual(t, told, 0, name)
+		assert.Less(t, told, first)
+		bounds := map[string]Bound{}
+		for _, b := range rep.Bounds {
+			bounds[b.Name] = b
+		}
+		for _, s := range rep.Detail.(*Capacity).Largest {
+			require.Equal(t, letterAt, s.Of)
+			if s.Name == "messages.in" {
+				assert.InEpsilon(t, 2+40.0, float64(s.Foretold.Y), 0.05, "calls are part of it")
+			}
+			if s.Name == "heap" {
+				assert.Equal(t, extra == 0, s.Foretold.Holds, "%s: %+v", name, s.Foretold)
+			}
+		}
+		zero, one := bounds["zipf, exponent 0, seed 2: path-books twice, late sends, boxes pushed over, calls without an end"],
+			bounds["zipf, exponent 1, seed 2: path-books twice, late sends, boxes pushed over, calls without an end"]
+		assert.Equal(t, []any{true, false}, []any{zero.Holds, one.Holds}, "a broken rule breaks its bound")
+		shown := map[string]Figure{}
+		for _, r := range rep.Rows {
+			shown[r.Name] = r.Values[1]
+		}
+		assert.Equal(t, []Figure{1, 0.5}, []Figure{shown["zipf, exponent 0: loads"], shown["zipf, exponent 1: loads"]})
+	}
+	full := planCapacity(Options{Seed: 7})
+	assert.Equal(t, []uint64{7, 8, 9}, full.seeds)
+	assert.Equal(t, []any{1_900, 200.0}, []any{full.letter.Dispatchers, full.letter.Calls})
+	assert.GreaterOrEqual(t, full.faults.Dispatchers, 1_000)
+	for _, name := range []string{letterAt, zipfAt, faultsAt} {
+		assert.Contains(t, full.names(), name)
+	}
+}
+
 // A run that fails or is broken off leaves what there was, marked.
 func TestCapacityBrokenOff(t *testing.T) {
 	dir, runs, fault := t.TempDir(), 0, errors.New("hollow run: too little memory: 6 dispatchers took 9 GB")
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -36,6 +36,7 @@
 	Zipf                              float64       // exponent of the functions' popularity; 0: drawn evenly
 	Span                              time.Duration // virtual time that is measured, after a warm-up
 	Warm                              time.Duration // the warm-up; 0: 6 s
+	WarmCalls                         float64       // calls a second at each in the warm-up, but for its last second; 0: Calls
 	Before                            bool          // the whole list is walked for every choice
 	Walk                              int           // else decide.Settings.Walk; 0: the program's own
 	Fault                             string        // "" or one of HollowFaults()
@@ -95,6 +96,7 @@
 var ErrHollowMemory = errors.New("too little memory")
 
 const (
+	hollowRise     = time.Second     // before the span, at the end of the warm-up, calls come at the span's pace
 	hollowEnd      = 8 * time.Second // after it, at the most: until every call has ended
 	hollowUse      = 0.4             // of its cores, what an executor's share of the calls takes
 	hollowCopies   = 4.8             // instances a function, 230,000 of 48,000 as planned: an executor's memory is sized by it
@@ -303,8 +305,8 @@
 	switch {
 	case s.Dispatchers < 1 || s.Executors < 1 || s.Functions < 1:
 		return fmt.Errorf("hollow run: dispatchers (%d), executors (%d) and functions (%d) must be at least 1", s.Dispatchers, s.Executors, s.Functions)
-	case s.Span <= 0 || !(s.Calls >= 0) || !(s.ListEvents >= 0) || !(s.Zipf >= 0) || !(s.Lost >= 0):
-		return fmt.Errorf("hollow run: span (%v) must be above 0, and calls (%v), list events (%v), Zipf (%v) and lost (%v) not below", s.Span, s.Calls, s.ListEvents, s.Zipf, s.Lost)
+	case s.Span <= 0 || !(s.Calls >= 0) || !(s.ListEvents >= 0) || !(s.Zipf >= 0) || !(s.Lost >= 0) || !(s.WarmCalls >= 0):
+		return fmt.Errorf("hollow run: span (%v) must be above 0, and calls (%v, %v in the warm-up), list events (%v), Zipf (%v) and lost (%v) not below", s.Span, s.Calls, s.WarmCalls, s.ListEvents, s.Zipf, s.Lost)
 	case s.Fault != "" && !slices.Contains(HollowFaults(), s.Fault):
 		return fmt.Errorf("hollow run: no fault %q; there are %q", s.Fault, HollowFaults())
 	}
@@ -335,7 +337,15 @@
 // calls under way; the emulated world. It is a guess: guard watches the run itself.
 func (s *HollowSize) needs() uint64 {
 	d, e, long := float64(s.Dispatchers), float64(s.Executors), (s.Warm + s.Span).Seconds()
-	known := min(float64(s.Functions), s.Calls*long+long*min(10*(3+e/8), 30*s.Calls)) // pairs are paid for by calls
+	slow, first := 0.0, s.Calls // the part of the warm-up at its own pace
+	if s.WarmCalls > 0 {
+		slow, first = max(0, s.Warm-hollowRise).Seconds(), s.WarmCalls
+	}
+	known := 0.0 // its own calls' functions, and pairs that it is told, which are paid for by calls
+	for _, x := range [][2]float64{{slow, first}, {long - slow, s.Calls}} {
+		known += x[0] * (x[1] + min(10*(3+e/8), 30*x[1]))
+	}
+	known = min(known, float64(s.Functions))
 	each := 30e3 + 1200*e + 150*d + 250*known + 3000*s.Calls
 	return uint64(1.5*(d*each+long*e*d*10) + 100e6)
 }
@@ -678,9 +688,21 @@
 	return h.nodes[n]
 }
 
+// gap is the time until a dispatcher's next call, where x is that time in mean gaps.
+func (h *hollowWorld) gap(x float64) time.Duration {
+	first, left := h.size.WarmCalls, h.from.Add(-hollowRise).Sub(h.now)
+	if first <= 0 || left <= 0 {
+		return time.Duration(x / h.size.Calls * float64(time.Second))
+	}
+	if at := x / first * float64(time.Second); at < float64(left) {
+		return time.Duration(at)
+	}
+	return left + time.Duration((x-first*left.Seconds())/h.size.Calls*float64(time.Second))
+}
+
 // clients of a dispatcher send until the end of the span.
 func (h *hollowWorld) clients(n int, rng *rand.Rand, seq int) {
-	h.after(time.Duration(rng.ExpFloat64()/h.load.Rate*float64(time.Second)), func() {
+	h.after(h.gap(rng.ExpFloat64()), func() {
 		if !h.now.Before(h.until) {
 			return
 		}
--- a/internal/lab/hollow_test.go
+++ b/internal/lab/hollow_test.go
@@ -99,6 +99,57 @@
 	assert.GreaterOrEqual(t, r.Figures["bytes.in.busiest"], r.Figures["collector.in.busiest"])
 }
 
+// The warm-up has its own pace but for its last second, the span the one that is asked for.
+func TestHollowWarmsUpAtItsOwnPace(t *testing.T) {
+	size := smallHollow()
+	size.ListEvents, size.Calls, size.WarmCalls = 0, 50, 5
+	require.NoError(t, size.check())
+	h, err := newHollow(t.Context(), size, 1)
+	require.NoError(t, err)
+	rise := h.from.Add(-hollowRise)
+	for _, c := range []struct {
+		now  time.Time
+		x    float64 // mean gaps
+		want time.Duration
+	}{
+		{h.began, 1, 200 * time.Millisecond},
+		{rise.Add(-100 * time.Millisecond), 0.25, 50 * time.Millisecond},
+		{rise.Add(-100 * time.Millisecond), 1, 110 * time.Millisecond}, // half a gap of the one pace, half of the other
+		{rise, 1, 20 * time.Millisecond},
+		{h.from, 3, 60 * time.Millisecond},
+	} {
+		h.now = c.now
+		assert.InDelta(t, c.want, h.gap(c.x), 10, "%v before the span, %g", h.from.Sub(c.now), c.x)
+	}
+	h.now = h.began
+	sent := func(until time.Time) (n int) {
+		before := len(h.sends)
+		h.play(t.Context(), until)
+		for _, x := range h.sends[min(before, len(h.sends)):] {
+			n += x
+		}
+		return n
+	}
+	slow, fast := sent(rise), sent(h.from)
+	assert.InEpsilon(t, 5*12*(size.Warm-hollowRise).Seconds(), slow, 0.2)
+	assert.InEpsilon(t, 50*12, fast, 0.2)
+	size.WarmCalls = -1
+	_, err = HollowRun(t.Context(), size, 1)
+	assert.Error(t, err)
+}
+
+// Popular functions stand: drawn by a Zipf law calls find more copies than drawn evenly, so that fewer are loaded.
+func TestHollowZipfLoadsLess(t *testing.T) {
+	size := smallHollow()
+	size.Functions, size.ListEvents = 2000, 0
+	even, err := HollowRun(t.Context(), size, 1)
+	require.NoError(t, err)
+	size.Zipf = 1.2
+	popular, err := HollowRun(t.Context(), size, 1)
+	require.NoError(t, err)
+	assert.Less(t, popular.Figures["loads"], 0.7*even.Figures["loads"])
+}
+
 func TestHollowRefuses(t *testing.T) {
 	size := smallHollow()
 	size.Memory = 10 << 20
@@ -108,6 +159,12 @@
 	assert.NotContains(t, err.Error(), "\n")
 	plan := HollowSize{Dispatchers: 1900, Executors: 960, Functions: 48000, Calls: 5, Warm: 6 * time.Second, Span: 10 * time.Second}
 	assert.Less(t, plan.needs(), uint64(8e9), "the largest run that is wanted has to fit")
+	letter := planCapacity(Options{Seed: 1}).letter
+	letter.Warm = 6 * time.Second
+	assert.Less(t, letter.needs(), uint64(12e9), "and so has that of the letter's calls, in half of 24 GB")
+	slow := letter
+	slow.WarmCalls = 0
+	assert.Greater(t, slow.needs(), letter.needs())
 	for _, bad := range []HollowSize{{}, {Dispatchers: 1, Executors: 1, Functions: 1}, {Dispatchers: 1, Executors: 1, Functions: 1, Span: 1, Fault: "none such"}} {
 		_, err := HollowRun(t.Context(), bad, 1)
 		assert.Error(t, err, fmt.Sprint(bad))
