A report is held by who told it, so that reading the next one costs what the two tell

Cause: what others told of executors lay with the executors, so a collector went over all of it, executors times dispatchers, to end what a sender had told before.

Change: reports lie by sender; a digest adds them up by executor. Order of reading, age, and what ends what are as before. A property test plays reports (in parts, lost, doubled, late, of restarted dispatchers), digests, lists that change and time against a plain model that holds all by executor; another has everything but the sender's own report unreadable while one is read. One test that looked at an executor's entries looks at the reports for the same figure.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -976,8 +976,12 @@
 	busy := 0
 	for _, w := range b.list {
 		n := int(w.others) // where a was the hub, b knows the sums; else a reported to b
-		for _, p := range w.peers {
-			n = max(n, p.n)
+		for _, r := range b.reports {
+			for _, c := range r.counts {
+				if c.w == w {
+					n = max(n, int(c.n))
+				}
+			}
 		}
 		busy += n
 	}
--- /dev/null
+++ b/decide/reports_test.go
@@ -0,0 +1,303 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"oakthread/commons"
+	"oakthread/verdict"
+)
+
+// This file owns the tests of how reports of others are held and added up: that a digest says what one would that is made anew from
+// all that each worker was ever told of, and that reading a report looks at nothing that others told. It must never bound a time.
+
+// plainReports holds what others told by worker and not by who told it, and adds up anew each time: the plain model.
+type plainReports struct {
+	d       *Dispatcher
+	told    map[*worker]*plainTold
+	touched map[*worker]bool // before the event at hand
+	swept   int64
+}
+
+type plainTold struct {
+	counts []plainCount // one of each dispatcher
+	marks  []plainMark
+}
+
+type plainCount struct {
+	from   int
+	at     int64
+	n      int
+	silent bool
+	heard  bool
+}
+
+type plainMark struct {
+	from int
+	at   int64
+	mark verdict.Mark
+}
+
+func (p *plainReports) of(w *worker) *plainTold {
+	if p.told[w] == nil {
+		p.told[w] = &plainTold{}
+	}
+	return p.told[w]
+}
+
+// before notes what is listed as touched before an event.
+func (p *plainReports) before() {
+	p.touched, p.swept = map[*worker]bool{}, p.d.sweptAt
+	for _, w := range p.d.workers {
+		p.touched[w] = w.touchedAt != 0
+	}
+}
+
+// after follows what rounds do to what is held: a sweep drops what is old, and a long list what has not been touched for long.
+func (p *plainReports) after(now int64) {
+	d := p.d
+	long := len(d.list) > d.set.Walk
+	for w, t := range p.told {
+		if d.workers[w.Worker] != w {
+			delete(p.told, w)
+			continue
+		}
+		if d.sweptAt != p.swept && (long && p.touched[w] || !long && w.inList) {
+			t.counts = slices.DeleteFunc(t.counts, func(c plainCount) bool { return now-c.at > 2*d.minAim })
+			t.marks = slices.DeleteFunc(t.marks, func(m plainMark) bool { return now-m.at > hubAims*d.minAim })
+		}
+		if long && p.touched[w] && w.touchedAt == 0 {
+			delete(p.told, w)
+		}
+	}
+}
+
+// read takes a text of a report that the dispatcher heeds.
+func (p *plainReports) read(now int64, from int, m commons.Message) {
+	d := p.d
+	if !m.GoesOn {
+		for _, w := range d.active() {
+			t := p.of(w)
+			t.counts = slices.DeleteFunc(t.counts, func(c plainCount) bool { return c.from == from })
+			t.marks = slices.DeleteFunc(t.marks, func(m plainMark) bool { return m.from == from })
+		}
+	}
+	for _, x := range m.Marks {
+		if w := d.tags[x.Worker]; w != nil {
+			t := p.of(w)
+			t.marks = append(t.marks, plainMark{from, now, verdict.Mark{Good: x.Good, Bad: x.Bad, Pace: x.Pace}})
+		}
+	}
+	for _, c := range m.Counts {
+		if w := d.tags[c.Worker]; w != nil {
+			t := p.of(w)
+			t.counts = slices.DeleteFunc(t.counts, func(x plainCount) bool { return x.from == from })
+			t.counts = append(t.counts, plainCount{from, now, c.N, c.Silent, c.Heard})
+		}
+	}
+}
+
+// pooled is the definition of what a digest says of w.
+func (p *plainReports) pooled(now int64, w *worker, c *commons.Count, own verdict.Mark, says bool) (verdict.Mark, bool) {
+	d, t := p.d, p.of(w)
+	silent, heard, marks := 0, 0, []verdict.Mark(nil)
+	if c.Silent {
+		silent++
+	}
+	if says {
+		marks = append(marks, own)
+	} else if c.Heard {
+		heard++
+	}
+	for _, m := range t.marks {
+		if now-m.at <= hubAims*d.minAim {
+			marks = append(marks, m.mark)
+		}
+	}
+	for _, x := range t.counts {
+		if now-x.at >= d.minAim {
+			continue
+		}
+		c.N += x.n
+		c.Heard = c.Heard || x.heard
+		if x.silent {
+			silent++
+		}
+		if x.heard && !slices.ContainsFunc(t.marks, func(m plainMark) bool { return m.from == x.from }) {
+			heard++
+		}
+	}
+	c.Silent = verdict.Silent(silent, d.set.Siblings)
+	stands := d.judge.Bound(now, &w.health)
+	if stands {
+		heard = 0
+	}
+	word := verdict.Pool(marks, heard)
+	return verdict.Mark(word), word.Says(stands)
+}
+
+// What a digest says of each executor is what the plain model says, over any events: reports in several texts, lost, doubled, late
+// and of restarted dispatchers, executors told of twice in a text, digests, lists whole and in parts, restarts, calls, and time in which
+// all grows old.
+func TestReportsAddUpAsAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 17, 64, 300, 960}).Draw(t, "executors")
+		s := settings(Safe, ScopeAll)
+		s.Siblings, s.Number, s.Peers = rapid.SampledFrom([]int{3, 20, 300, 1900}).Draw(t, "siblings"), 1, true
+		s.Walk = rapid.SampledFrom([]int{walkWhole, 0, walkNever}).Draw(t, "walk")
+		s.LoadsOnMiss = rapid.Bool().Draw(t, "orders")
+		f := newFake()
+		const began = 100_000 * ms
+		d, err := New(began, s, 7, f)
+		require.NoError(t, err)
+		d.Roster(began, RosterFull, roster(n))
+		p := &plainReports{d: d, told: map[*worker]*plainTold{}}
+		type letter struct {
+			from int
+			text string
+		}
+		var sent []letter // texts that may come again
+		now, calls := began, 0
+		seqs, incs := map[int]uint8{}, map[int]uint8{}
+		few := func(label string) WorkerID { // of some, so that events meet
+			return WorkerID(1 + rapid.IntRange(0, min(n, 12)-1).Draw(t, label)*max(1, n/12))
+		}
+		from := func() int { return []int{0, 2, s.Siblings - 1, s.Siblings / 2}[rapid.IntRange(0, 3).Draw(t, "from")] }
+		event := func(do func()) {
+			p.before()
+			do()
+			p.after(now)
+		}
+		read := func(l letter) {
+			event(func() { d.tick(now) })
+			m, ok := commons.Read(l.text, s.Siblings)
+			require.True(t, ok)
+			before := d.shared.Dropped
+			event(func() {
+				d.Peer(now, l.from, l.text)
+				if l.from != s.Number && d.shared.Dropped == before {
+					p.read(now, l.from, m)
+				}
+			})
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "events") {
+			now += rapid.SampledFrom([]int64{0, ms, 20 * ms, 130 * ms, 400 * ms, 999 * ms, 1000 * ms, 2000 * ms, 4100 * ms}).Draw(t, "later")
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			case 0, 1, 2, 3, 4:
+				who := from()
+				seqs[who]++
+				if rapid.IntRange(0, 9).Draw(t, "restarted") == 0 {
+					seqs[who], incs[who] = 1, incs[who]+1
+				}
+				m := commons.Message{Calls: 9, Row: commons.Row{Incarnation: incs[who], Seq: seqs[who], Figures: []float64{1, 1}}}
+				for range rapid.SampledFrom([]int{0, 1, 3, 8, 70}).Draw(t, "counts") {
+					m.Counts = append(m.Counts, commons.Count{Worker: tag(few("counted")), N: rapid.IntRange(0, 3).Draw(t, "calls"),
+						Silent: rapid.Bool().Draw(t, "silent"), Heard: rapid.Bool().Draw(t, "heard")})
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "marks") {
+					m.Marks = append(m.Marks, commons.Mark{Worker: tag(few("marked")), Good: uint8(rapid.IntRange(0, 2).Draw(t, "good")),
+						Bad: uint8(rapid.IntRange(0, 2).Draw(t, "bad")), Pace: uint8(rapid.SampledFrom([]int{0, 9}).Draw(t, "pace"))})
+				}
+				for _, text := range m.Texts(s.Siblings) {
+					if sent = append(sent, letter{who, text}); rapid.IntRange(0, 5).Draw(t, "lost") > 0 {
+						read(sent[len(sent)-1])
+					}
+				}
+			case 5:
+				if len(sent) > 0 { // once more, or late
+					read(sent[len(sent)-1-rapid.IntRange(0, min(len(sent), 6)-1).Draw(t, "again")])
+				}
+			case 6:
+				event(func() { d.Timer(now, f.ref) })
+			case 7:
+				event(func() {
+					d.tick(now)
+					calls++
+					d.Request(now, call(fmt.Sprint(calls), now, FuncID(calls%5)))
+				})
+			case 8:
+				if len(f.sends) > 0 {
+					o := f.sends[rapid.IntRange(0, len(f.sends)-1).Draw(t, "ends")]
+					res := Result(rapid.IntRange(0, int(Results)-1).Draw(t, "end"))
+					event(func() { d.tick(now) })
+					event(func() {
+						d.Outcome(now, Outcome{ID: o.id, Worker: o.w, Result: res, Finished: res == OK, Warmth: WarmHit})
+					})
+				}
+			case 9:
+				e := Entry{Worker: few("worker"), State: State(rapid.IntRange(0, 2).Draw(t, "state")), Weight: 1}
+				if rapid.Bool().Draw(t, "restarts") {
+					e.Start = now
+				}
+				event(func() { d.tick(now) })
+				event(func() { d.Roster(now, RosterDelta, []Entry{e}) })
+			case 10:
+				event(func() { d.tick(now) })
+				event(func() { d.Roster(now, RosterFull, roster(rapid.SampledFrom([]int{n, n / 2, 1}).Draw(t, "whole"))) })
+			case 11:
+				m := commons.Message{Hub: true, Marks: []commons.Mark{{Worker: tag(few("judged")), Bad: 9}}, Sum: commons.Digest{
+					Tick: uint16(now / d.set.Quantum), Sums: []float64{9, 9}, Gone: []float64{0, 0}, Moved: []float64{0, 0},
+					Covered: commons.NewSet(s.Siblings), Missing: commons.NewSet(s.Siblings)}}
+				for range rapid.IntRange(0, 3).Draw(t, "told") {
+					m.Counts = append(m.Counts, commons.Count{Worker: tag(few("told of")), N: 2, Silent: rapid.Bool().Draw(t, "mute")})
+				}
+				event(func() { d.tick(now) })
+				event(func() { d.Peer(now, from(), m.Texts(s.Siblings)[0]) })
+			}
+			sameSums(t, p, now)
+		}
+	})
+}
+
+// sameSums compares what a digest would say of each executor that it looks at.
+func sameSums(t *rapid.T, p *plainReports, now int64) {
+	d := p.d
+	d.tallyReports(now)
+	for i, w := range d.active() {
+		c := commons.Count{Worker: tag(w.Worker), N: i % 2, Silent: i%3 == 0, Heard: i%2 == 0}
+		want, own, says := c, verdict.Mark{Bad: uint8(i % 4)}, i%4 > 0
+		wantMark, wantSays := p.pooled(now, w, &want, own, says)
+		mark, tells := d.pooled(now, w, &c, own, says)
+		if c != want || mark != wantMark || tells != wantSays {
+			t.Fatalf("of executor %d: %+v %+v %v, made anew %+v %+v %v", w.Worker, c, mark, tells, want, wantMark, wantSays)
+		}
+	}
+}
+
+// Reading a report looks at nothing that others told and at no list: all of that is made unreadable while the report is read. So it
+// costs what it tells and what its sender told before, whatever a collector holds.
+func TestReportCostsWhatItTells(t *testing.T) {
+	for _, n := range []int{120, 9600} {
+		s := settings(Safe, ScopeAll)
+		s.Siblings, s.Peers = 1900, true
+		d, _ := start(t, s, n)
+		report := func(now int64, from int, seq uint8, workers ...int) string {
+			m := commons.Message{Row: commons.Row{Incarnation: 1, Seq: seq, Figures: []float64{1, 1}},
+				Marks: []commons.Mark{{Worker: uint16(workers[0]), Bad: 3}}}
+			for _, w := range workers {
+				m.Counts = append(m.Counts, commons.Count{Worker: uint16(w), N: 1, Heard: true})
+			}
+			return m.Texts(s.Siblings)[0]
+		}
+		now := 100_000 * ms
+		for from := 1; from < s.Siblings; from++ {
+			d.Peer(now, from, report(now, from, 1, 1+from%n, 1+from*7%n, 1+from*13%n))
+		}
+		list, touched, reports := d.list, d.touched, d.reports
+		d.list, d.touched, d.reports = make([]*worker, len(list)), make([]*worker, len(touched)), map[int]*peerReport{5: reports[5]}
+		for from := range s.Siblings {
+			if from != 5 {
+				d.reports[from] = nil
+			}
+		}
+		require.Len(t, reports[5].counts, 3)
+		require.True(t, d.Peer(now+ms, 5, report(now+ms, 5, 2, 2, 3)), "%d executors", n)
+		d.list, d.touched, d.reports = list, touched, reports
+		require.Len(t, reports[5].counts, 2)
+		require.Len(t, reports[5].marks, 1)
+	}
+}
--- a/decide/scale_test.go
+++ b/decide/scale_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 	"testing"
+
+	"oakthread/commons"
 )
 
 // This file owns what a choice costs at the size planned. It must never test a behaviour, nor read a clock of its own.
@@ -174,3 +176,73 @@
 func (x *scaleHost) Tell(int, string) {}
 func (x *scaleHost) Watch()           {}
 func (x *scaleHost) Log(string)       {}
+
+// BenchmarkReport is a report read by a collector that holds reports of all its siblings, each of which tells of up to 30
+// executors, and one term of the collector: all of them read, with rounds and the gathering of digests too dear to be told. sent/op
+// are the texts that a report has.
+func BenchmarkReport(b *testing.B) {
+	for _, siblings := range []int{60, 300, 1_000, 1_900} {
+		for _, workers := range []int{120, 960, 9_600} {
+			x := newReports(b, siblings, workers)
+			b.Run(fmt.Sprintf("read/%d_siblings_%d_workers", siblings, workers), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					x.read(b)
+				}
+				b.ReportMetric(float64(len(x.texts[0][1])), "texts/op")
+			})
+			b.Run(fmt.Sprintf("gathered/%d_siblings_%d_workers", siblings, workers), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					m := commons.Message{Hub: true}
+					x.d.gather(x.now, &m)
+				}
+			})
+		}
+	}
+}
+
+// reports are what the siblings of dispatcher 0 tell it, one after the other, each once in a term.
+type reports struct {
+	d     *Dispatcher
+	texts [3][][]string // by the round and the sibling; numbers of reports wrap round
+	n     int
+	now   int64
+}
+
+func newReports(b *testing.B, siblings, workers int) *reports {
+	s := settings(Safe, ScopeAll)
+	s.Siblings, s.Peers, s.PeerPrice = siblings, true, 0.01
+	host := newScaleHost(b, s, workers, 0)
+	x := &reports{d: host.d, now: 1000 * hubAims * s.Classes[0].Aim}
+	rng := rand.New(rand.NewPCG(uint64(siblings), uint64(workers)))
+	for round := range x.texts {
+		for range siblings {
+			m := commons.Message{Calls: 100, Row: commons.Row{Incarnation: 1, Seq: uint8(round * 85), Figures: []float64{200, 3}}}
+			for range min(workers, 30) {
+				m.Counts = append(m.Counts, commons.Count{Worker: tag(WorkerID(1 + rng.IntN(workers))), N: 1 + rng.IntN(3), Heard: true})
+			}
+			for range 3 {
+				m.Pairs = append(m.Pairs, commons.Pair{Func: uint32(1 + rng.IntN(scaleFuncs)), Worker: tag(WorkerID(1 + rng.IntN(workers)))})
+			}
+			x.texts[round] = append(x.texts[round], m.Texts(siblings))
+		}
+	}
+	for range 2 * siblings {
+		x.read(b)
+	}
+	return x
+}
+
+// read has the next sibling's report read.
+func (x *reports) read(b *testing.B) {
+	siblings := len(x.texts[0])
+	from := 1 + x.n%(siblings-1)
+	x.now += hubAims * x.d.minAim / int64(siblings-1)
+	for _, text := range x.texts[x.n/(siblings-1)%len(x.texts)][from] {
+		if !x.d.Peer(x.now, from, text) {
+			b.Fatal("a report is not read")
+		}
+	}
+	x.n++
+}
