A digest is summed as reports are read, and gathering it looks at none of them

Cause: with reports read at what they tell, a collector still added up all that it holds for each digest that it gathered, told or found too dear: some 57,000 counts at 1,900 siblings, at each round and each call to a new holder.

Change: decide/reports.go owns reports. Sums of each executor are whole numbers, raised as a count is read and lowered by the same as it is replaced, too old or void; gathering looks at the reports that tell marks alone. A text read allocates what it holds at once.

--- a/commons/message.go
+++ b/commons/message.go
@@ -193,7 +193,8 @@
 		raw = raw[n:]
 		return b
 	}
-	figures := func() (out []float64) {
+	figures := func() []float64 {
+		out := make([]float64, 0, figs)
 		for b := take(2 * figs); len(b) > 0; b = b[2:] {
 			out = append(out, small(binary.BigEndian.Uint16(b)))
 		}
@@ -255,12 +256,18 @@
 			m.Marks = append(m.Marks, Mark{binary.BigEndian.Uint16(b), b[2] >> 4, b[2] & 15, b[3]})
 		}
 	}
+	if n > 0 {
+		m.Counts = make([]Count, 0, n)
+	}
 	for b := take(3 * n); len(b) > 0; b = b[3:] {
 		m.Counts = append(m.Counts, Count{binary.BigEndian.Uint16(b), int(b[2] & 63), b[2]&128 != 0, b[2]&64 != 0})
 	}
 	if cut || len(raw)%6 != 0 {
 		return Message{}, false
 	}
+	if len(raw) > 0 {
+		m.Pairs = make([]Pair, 0, len(raw)/6)
+	}
 	for ; len(raw) > 0; raw = raw[6:] {
 		m.Pairs = append(m.Pairs, Pair{binary.BigEndian.Uint32(raw), binary.BigEndian.Uint16(raw[4:])})
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -74,15 +74,14 @@
 	young          []*worker // listed ones that are cold, or were
 	warm           int       // listed workers that are not cold
 	sweptAt        int64
-	stoodAt        int64               // when we last found that we had stood still
-	lost           float64             // share of answers that never come, from workers that answer others
-	shared         *commons.Table      // what each has of the figures below, and their sums
-	view           commons.View        // as of the last round
-	reports        map[int]*peerReport // by the dispatcher that made each
-	texts          int                 // of reports that were read
-	round          int                 // of gathering at the hub
-	roll           *turns.Roll         // who is there, and whose turn it is
-	sorted         []float64           // scratch for a middle
+	stoodAt        int64          // when we last found that we had stood still
+	lost           float64        // share of answers that never come, from workers that answer others
+	shared         *commons.Table // what each has of the figures below, and their sums
+	view           commons.View   // as of the last round
+	reports        reports        // what the others told us as the hub
+	counted        int            // counts in the last report gathered
+	roll           *turns.Roll    // who is there, and whose turn it is
+	sorted         []float64      // scratch for a middle
 	digestAt       int64
 	wholeAt        int64 // when the last whole digest came in a long list
 	logAt          int64
@@ -151,8 +150,7 @@
 	young     bool  // it is in Dispatcher.young
 	touchedAt int64 // when a call, an answer or a message last concerned it; 0: not in Dispatcher.touched
 	holds     []*holder
-	tally     tally // scratch of gather
-	void      int   // what reports up to this text told of it has ended
+	tally     tally // of what the others told of it
 }
 
 // purse is what may be spent on messages, and what the last one cost, sent or not; as prices, parts of a call's worth.
@@ -196,37 +194,6 @@
 	return 0
 }
 
-// peerReport is what one other dispatcher told of workers in its last report, to us as the hub. It is kept by who told it, so that
-// reading the next one costs what the two tell and not what all the others have told.
-type peerReport struct {
-	counts []peerCount // of several of one worker the last one holds
-	marks  []peerMark
-}
-
-type peerCount struct {
-	w      *worker
-	at     int64
-	text   int // the number of the text that told it
-	n      int32
-	silent bool
-	heard  bool
-}
-
-type peerMark struct {
-	w    *worker
-	at   int64
-	text int
-	mark verdict.Mark
-}
-
-// tally is what the reports of the others tell of one worker together. Its round is the gathering that it belongs to.
-type tally struct {
-	round, from, marked int // from and marked: the dispatchers that told the last count and the last mark taken, plus one
-	n, silent, heard    int
-	answers             bool
-	marks               []verdict.Mark
-}
-
 // function is the row of the holder table for one function.
 type function struct {
 	id      FuncID
@@ -408,7 +375,7 @@
 			return false
 		}
 		if w.touchedAt = 0; len(d.list) > d.set.Walk { // all of it is too old to count
-			w.void = d.texts
+			w.tally = tally{void: d.reports.texts}
 		}
 		return true
 	})
@@ -552,15 +519,7 @@
 	d.news = slices.DeleteFunc(d.news, func(h *holder) bool { return h.until <= now && h.inflight == 0 && !h.ordered })
 	d.young = slices.DeleteFunc(d.young, func(w *worker) bool { w.young = w.listed && d.isCold(now, w); return !w.young })
 	d.warm = len(d.list) - len(d.young)
-	for from, r := range d.reports {
-		r.keep(func(w *worker, at int64, text int) bool {
-			old := now-at > hubAims*d.minAim && d.isActive(w) || text <= w.void
-			return !old && (w.listed || len(w.open) > 0) // else it is dropped below
-		})
-		if len(r.counts)+len(r.marks) == 0 {
-			delete(d.reports, from)
-		}
-	}
+	d.sweepReports(now)
 	for _, w := range d.active() {
 		keep := w.ghosts[:0]
 		for _, g := range w.ghosts {
@@ -688,40 +647,6 @@
 	return true
 }
 
-// takeReport takes what a report tells of workers, in place of what its sender told before; a later text of it adds to that.
-func (d *Dispatcher) takeReport(now int64, from int, m commons.Message) {
-	r := d.reports[from]
-	if r == nil {
-		if len(m.Marks)+len(m.Counts) == 0 {
-			return
-		}
-		r = &peerReport{}
-		d.reports[from] = r
-	}
-	if !m.GoesOn {
-		r.keep(func(w *worker, _ int64, _ int) bool { return !d.isActive(w) })
-	}
-	d.texts++
-	for _, x := range m.Marks {
-		if w := d.tags[x.Worker]; w != nil {
-			d.touch(now, w)
-			r.marks = append(r.marks, peerMark{w, now, d.texts, verdict.Mark{Good: x.Good, Bad: x.Bad, Pace: x.Pace}})
-		}
-	}
-	for _, c := range m.Counts {
-		if w := d.tags[c.Worker]; w != nil {
-			d.touch(now, w)
-			r.counts = append(r.counts, peerCount{w, now, d.texts, int32(c.N), c.Silent, c.Heard})
-		}
-	}
-}
-
-// keep drops all but what is of use, by the worker, when it was told and by which text.
-func (r *peerReport) keep(use func(w *worker, at int64, text int) bool) {
-	r.counts = slices.DeleteFunc(r.counts, func(c peerCount) bool { return !use(c.w, c.at, c.text) })
-	r.marks = slices.DeleteFunc(r.marks, func(m peerMark) bool { return !use(m.w, m.at, m.text) })
-}
-
 // hear takes a new holder from a message; the hub passes on what it did not know.
 func (d *Dispatcher) hear(now int64, p commons.Pair, pass bool) {
 	w := d.tags[p.Worker]
@@ -972,7 +897,7 @@
 	}
 	d := &Dispatcher{set: s, host: host, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), now: now,
 		minAim: forever, reqs: map[string]*request{}, workers: map[WorkerID]*worker{},
-		funcs: map[uint32]*function{}, tags: map[uint16]*worker{}, reports: map[int]*peerReport{}, armed: forever,
+		funcs: map[uint32]*function{}, tags: map[uint16]*worker{}, armed: forever,
 		stress: 1, misses: 1, lost: lostPrior, born: now, stoodAt: now - 1, hedges: 1,
 		asked: make([]float64, len(s.Classes))}
 	for i := range s.Classes {
@@ -1028,9 +953,13 @@
 			m.Marks = append(m.Marks, commons.Mark{Worker: tag(w.Worker), Good: mark.Good, Bad: mark.Bad, Pace: mark.Pace})
 		}
 		if c.N > 0 || c.Silent || c.Heard {
+			if m.Counts == nil {
+				m.Counts = make([]commons.Count, 0, max(d.counted, 8)) // about as many as last time
+			}
 			m.Counts = append(m.Counts, c)
 		}
 	}
+	d.counted = len(m.Counts)
 	slices.SortStableFunc(m.Marks, func(a, b commons.Mark) int { return int(b.Bad) - int(a.Bad) }) // there is room for a dozen
 	most := helloPeers + len(m.Counts)/pairPart
 	for _, h := range d.news {
@@ -1051,69 +980,6 @@
 	return 1 + fading(w.pace-1, now-w.paceAt, float64(d.keep()))
 }
 
-// tallyReports adds up, in the tally of each worker, what the others' last reports tell of it: one pass over the reports.
-func (d *Dispatcher) tallyReports(now int64) {
-	d.round++
-	for from, r := range d.reports {
-		for i := range r.marks {
-			m := &r.marks[i]
-			if p := d.tallyOf(m.w); m.text > m.w.void {
-				if p.marked = from + 1; now-m.at <= hubAims*d.minAim {
-					p.marks = append(p.marks, m.mark)
-				}
-			}
-		}
-		for i := len(r.counts) - 1; i >= 0; i-- {
-			c := &r.counts[i]
-			p := d.tallyOf(c.w)
-			if p.from == from+1 || c.text <= c.w.void {
-				continue // told again later, or over
-			}
-			if p.from = from + 1; now-c.at >= d.minAim {
-				continue
-			}
-			p.n, p.answers = p.n+int(c.n), p.answers || c.heard
-			if c.silent {
-				p.silent++
-			}
-			if c.heard && p.marked != from+1 {
-				p.heard++
-			}
-		}
-	}
-}
-
-// tallyOf is the tally of w in this round.
-func (d *Dispatcher) tallyOf(w *worker) *tally {
-	if p := &w.tally; p.round != d.round {
-		*p = tally{round: d.round, marks: p.marks[:0]}
-	}
-	return &w.tally
-}
-
-// pooled adds to what we have at w what others reported, and makes a word of all marks, each observer one.
-func (d *Dispatcher) pooled(now int64, w *worker, c *commons.Count, own verdict.Mark, says bool) (verdict.Mark, bool) {
-	p := d.tallyOf(w)
-	silent, heard := p.silent, p.heard
-	if c.Silent {
-		silent++
-	}
-	if says {
-		p.marks = append(p.marks, own)
-	} else if c.Heard {
-		heard++
-	}
-	c.N += p.n
-	c.Heard = c.Heard || p.answers
-	c.Silent = verdict.Silent(silent, d.set.Siblings)
-	stands := d.judge.Bound(now, &w.health)
-	if stands { // an answer may be of before: what has served since is told by marks
-		heard = 0
-	}
-	word := verdict.Pool(p.marks, heard)
-	return verdict.Mark(word), word.Says(stands)
-}
-
 // AddClasses takes classes that requests may name from now on and returns the number of the first; requests in hand
 // keep the class they came with. All are taken or none: an error, for a class without a positive aim or with figures
 // that cannot be read, changes nothing.
