--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -976,8 +976,12 @@
 	busy := 0
 	for _, w := range b.list {
 		n := int(w.others) // where a was the hub, b knows the sums; else a reported to b
-		for _, p := range w.peers {
-			n = max(n, p.n)
+		for _, r := range b.reports.by {
+			for i := 0; r != nil && i < len(r.counts); i++ {
+				if c := r.counts[i]; c.w == w {
+					n = max(n, int(c.n))
+				}
+			}
 		}
 		busy += n
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,6 +78,8 @@
 	lost           float64        // share of answers that never come, from workers that answer others
 	shared         *commons.Table // what each has of the figures below, and their sums
 	view           commons.View   // as of the last round
+	reports        reports        // what the others told us as the hub
+	counted        int            // counts in the last report gathered
 	roll           *turns.Roll    // who is there, and whose turn it is
 	sorted         []float64      // scratch for a middle
 	digestAt       int64
@@ -148,8 +150,7 @@
 	young     bool  // it is in Dispatcher.young
 	touchedAt int64 // when a call, an answer or a message last concerned it; 0: not in Dispatcher.touched
 	holds     []*holder
-	peers     []peerCount
-	marks     []peerMark // what others told of it to us as the hub
+	tally     tally // of what the others told of it
 }
 
 // purse is what may be spent on messages, and what the last one cost, sent or not; as prices, parts of a call's worth.
@@ -193,20 +194,6 @@
 	return 0
 }
 
-type peerMark struct {
-	from int
-	at   int64
-	mark verdict.Mark
-}
-
-type peerCount struct {
-	from   int
-	n      int
-	at     int64
-	silent bool
-	heard  bool
-}
-
 // function is the row of the holder table for one function.
 type function struct {
 	id      FuncID
@@ -372,6 +359,14 @@
 	return d.touched
 }
 
+// isActive tells whether active lists w.
+func (d *Dispatcher) isActive(w *worker) bool {
+	if len(d.list) <= d.set.Walk {
+		return w.inList
+	}
+	return w.touchedAt != 0
+}
+
 // settle leaves out of touched what is not listed, and what there has been nothing to tell of for some time.
 func (d *Dispatcher) settle(now int64) {
 	d.touched = slices.DeleteFunc(d.touched, func(w *worker) bool {
@@ -380,7 +375,7 @@
 			return false
 		}
 		if w.touchedAt = 0; len(d.list) > d.set.Walk { // all of it is too old to count
-			w.peers, w.marks = nil, nil
+			w.tally = tally{void: d.reports.texts}
 		}
 		return true
 	})
@@ -412,17 +407,6 @@
 
 func (d *Dispatcher) push(at int64, r *request) { heap.Push(&d.heap, wakeup{at, r}) }
 
-// peer is the entry of one other dispatcher, added if there is none.
-func (w *worker) peer(from int) *peerCount {
-	for i := range w.peers {
-		if w.peers[i].from == from {
-			return &w.peers[i]
-		}
-	}
-	w.peers = append(w.peers, peerCount{from: from})
-	return &w.peers[len(w.peers)-1]
-}
-
 // uniform is the rank of a worker for a function, between 0 and 1, the same at every dispatcher.
 func uniform(f FuncID, w WorkerID) float64 {
 	return (float64(mix(uint64(f)^uint64(w)*0x9e3779b97f4a7c15)>>11) + 0.5) / (1 << 53)
@@ -535,9 +519,8 @@
 	d.news = slices.DeleteFunc(d.news, func(h *holder) bool { return h.until <= now && h.inflight == 0 && !h.ordered })
 	d.young = slices.DeleteFunc(d.young, func(w *worker) bool { w.young = w.listed && d.isCold(now, w); return !w.young })
 	d.warm = len(d.list) - len(d.young)
+	d.sweepReports(now)
 	for _, w := range d.active() {
-		w.peers = slices.DeleteFunc(w.peers, func(p peerCount) bool { return now-p.at > 2*d.minAim })
-		w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return now-p.at > hubAims*d.minAim })
 		keep := w.ghosts[:0]
 		for _, g := range w.ghosts {
 			if g.until > now {
@@ -659,27 +642,8 @@
 			return true // doubled, late, or of before its restart
 		}
 		d.pool.earn(tellShare * float64(m.Calls))
-		for _, w := range d.active() {
-			for i := range w.peers {
-				if w.peers[i].from == from {
-					w.peers[i].at = 0
-				}
-			}
-			w.marks = slices.DeleteFunc(w.marks, func(p peerMark) bool { return p.from == from })
-		}
-	}
-	for _, x := range m.Marks {
-		if w := d.tags[x.Worker]; w != nil {
-			d.touch(now, w)
-			w.marks = append(w.marks, peerMark{from, now, verdict.Mark{Good: x.Good, Bad: x.Bad, Pace: x.Pace}})
-		}
-	}
-	for _, c := range m.Counts {
-		if w := d.tags[c.Worker]; w != nil {
-			d.touch(now, w)
-			*w.peer(from) = peerCount{from, c.N, now, c.Silent, c.Heard}
-		}
 	}
+	d.takeReport(now, from, m)
 	return true
 }
 
@@ -962,6 +926,7 @@
 func (d *Dispatcher) gather(now int64, m *commons.Message) {
 	if m.Hub {
 		m.Sum = d.shared.Sum(now)
+		d.tallyReports(now)
 	} else {
 		m.Row = d.shared.Report()
 	}
@@ -988,9 +953,13 @@
 			m.Marks = append(m.Marks, commons.Mark{Worker: tag(w.Worker), Good: mark.Good, Bad: mark.Bad, Pace: mark.Pace})
 		}
 		if c.N > 0 || c.Silent || c.Heard {
+			if m.Counts == nil {
+				m.Counts = make([]commons.Count, 0, max(d.counted, 8)) // about as many as last time
+			}
 			m.Counts = append(m.Counts, c)
 		}
 	}
+	d.counted = len(m.Counts)
 	slices.SortStableFunc(m.Marks, func(a, b commons.Mark) int { return int(b.Bad) - int(a.Bad) }) // there is room for a dozen
 	most := helloPeers + len(m.Counts)/pairPart
 	for _, h := range d.news {
@@ -1011,43 +980,6 @@
 	return 1 + fading(w.pace-1, now-w.paceAt, float64(d.keep()))
 }
 
-// pooled adds to what we have at w what others reported, and makes a word of all marks, each observer one.
-func (d *Dispatcher) pooled(now int64, w *worker, c *commons.Count, own verdict.Mark, says bool) (verdict.Mark, bool) {
-	silent, heard, marks := 0, 0, make([]verdict.Mark, 0, len(w.marks)+1)
-	if c.Silent {
-		silent++
-	}
-	if says {
-		marks = append(marks, own)
-	} else if c.Heard {
-		heard++
-	}
-	for _, p := range w.marks {
-		if now-p.at <= hubAims*d.minAim {
-			marks = append(marks, p.mark)
-		}
-	}
-	for _, p := range w.peers {
-		if now-p.at < d.minAim {
-			c.N += p.n
-			c.Heard = c.Heard || p.heard
-			if p.silent {
-				silent++
-			}
-			if p.heard && !slices.ContainsFunc(w.marks, func(m peerMark) bool { return m.from == p.from }) {
-				heard++
-			}
-		}
-	}
-	c.Silent = verdict.Silent(silent, d.set.Siblings)
-	stands := d.judge.Bound(now, &w.health)
-	if stands { // an answer may be of before: what has served since is told by marks
-		heard = 0
-	}
-	word := verdict.Pool(marks, heard)
-	return verdict.Mark(word), word.Says(stands)
-}
-
 // AddClasses takes classes that requests may name from now on and returns the number of the first; requests in hand
 // keep the class they came with. All are taken or none: an error, for a class without a positive aim or with figures
 // that cannot be read, changes nothing.
