--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -343,6 +343,12 @@
 		return f, nil
 	}
 	what := fmt.Sprintf("%s: %s, %g list events/s, seed %d", section, &size, size.ListEvents, seed)
+	if size.Zipf > 0 {
+		what += fmt.Sprintf(", exponent %g", size.Zipf)
+	}
+	if size.Fault != "" {
+		what += ", " + size.Fault
+	}
 	from := time.Now()
 	r, err := c.hollow(ctx, size, seed)
 	took := time.Since(from)
