Hollow runs play a release: a third of the executors drains while as many come cold

Change: fault `release`: in ten steps over two thirds of the span every third executor drains and stays listed, as many new ones come cold, every other dispatcher is killed and started anew, its clients at the others meanwhile. A test at 300 and 1,200 executors.

--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -84,11 +84,12 @@
 	FaultWholeList = "whole list" // the whole list again to all at once
 	FaultChanges   = "changes"    // 5,100 a day at their mean pace, each of the list and of the configuration
 	FaultBurst     = "burst"      // 20 such in a second
+	FaultRelease   = "release"    // a third of the executors drains in ten steps, as many cold ones come, half of the dispatchers restart
 )
 
 // HollowFaults lists them.
 func HollowFaults() []string {
-	return []string{FaultOneDown, FaultRestarts, FaultZone, FaultRegions, FaultWholeList, FaultChanges, FaultBurst}
+	return []string{FaultOneDown, FaultRestarts, FaultZone, FaultRegions, FaultWholeList, FaultChanges, FaultBurst, FaultRelease}
 }
 
 // ErrHollowMemory is a run that takes, or would take, more memory than it may.
@@ -640,6 +641,39 @@
 		for i := range hollowBurst {
 			h.at(middle.Add(time.Duration(i)*time.Second/hollowBurst), func() { h.list(&middle); h.configure() })
 		}
+	case FaultRelease:
+		h.release(h.from, span*2/3)
+	}
+}
+
+// release replaces every third executor from a moment on, in ten steps over a span: as many new ones come cold, the old ones
+// drain and stay listed, and every other dispatcher is restarted, one after the other.
+func (h *hollowWorld) release(from time.Time, span time.Duration) {
+	old, d := h.size.Executors, h.size.Dispatchers
+	for step := range 10 {
+		h.at(from.Add(span*time.Duration(step)/10), func() {
+			var news []int
+			for i := 3 * (old * step / 30); i < 3*(old*(step+1)/30); i += 3 {
+				if h.listed[i].State != decide.On { // on its way already
+					continue
+				}
+				x := h.add(len(h.boxes), h.now)
+				x.zone = i % 10
+				news = append(news, i, len(h.listed))
+				h.listed = append(h.listed, roster.Box{ID: x.id, Zone: x.zone, State: decide.On, Weight: 2, Start: h.now})
+				h.changed = append(h.changed, h.now)
+				h.boxes[i].box.Drain()
+				h.boxes[i].drained = h.now.Add(fleetTold)
+				h.listed[i].State = decide.Draining
+			}
+			h.change(h.now, news...)
+		})
+	}
+	for n := 1; n < d; n += 2 {
+		h.at(from.Add(span*time.Duration(n)/time.Duration(d)), func() {
+			h.kill(n)
+			h.after(min(hollowDown, span/4), func() { h.revive(n) })
+		})
 	}
 }
 
--- a/internal/lab/hollow_test.go
+++ b/internal/lab/hollow_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// A release in lists too long to be walked, as TestReleaseInALongList plays it with real processes: no rule is breached, hardly a
+// call goes unserved, each third executor drains, and new ones are given work though they are cold.
+func TestHollowReleaseInALongList(t *testing.T) {
+	for _, n := range []int{300, 1200} {
+		size := HollowSize{Dispatchers: 12, Executors: n, Functions: 5 * n, Calls: 20, Span: 6 * time.Second, Fault: FaultRelease}
+		require.NoError(t, size.check())
+		h, err := newHollow(t.Context(), size, 5)
+		require.NoError(t, err)
+		r, err := h.run(t.Context())
+		require.NoError(t, err)
+		assert.Zero(t, r.Figures["twice"]+r.Figures["open"]+r.Figures["fallen"]+r.Figures["late"], "%d executors: %v", n, r.Figures)
+		assert.Less(t, r.Figures["unserved"], 0.02, "%d executors", n)
+		assert.Greater(t, r.Figures["worth"], 0.95, "%d executors", n)
+		require.Len(t, h.boxes, n+n/3)
+		used := 0
+		for i, x := range h.boxes {
+			assert.Equal(t, i < n && i%3 == 0, x.box.Draining(), "executor %d of %d", i, n)
+			if i >= n && len(x.box.loads) > 0 {
+				used++
+			}
+		}
+		assert.Greater(t, used, 10, "of %d new executors, which are cold, given work", n/3)
+		t.Logf("%d executors: worth %.4f, unserved %.4f, %d of %d new ones used", n, r.Figures["worth"], r.Figures["unserved"], used, n/3)
+	}
+}
+
 // The meter's counts are those of the world: messages and bytes as they were delivered, calls as clients sent them, loads as
 // the executors began them.
 func TestHollowMeterAddsUp(t *testing.T) {
