--- a/internal/lab/dispatchers.go
+++ b/internal/lab/dispatchers.go
@@ -115,6 +115,23 @@
 	return d, nil
 }
 
+// Know has the configuration hold what is known of the boxes: an object with a cursor and events.
+func (d *Dispatcher) Know(known map[string]any) error {
+	raw, err := os.ReadFile(d.Config)
+	if err != nil {
+		return fmt.Errorf("dispatcher %d: its configuration: %w", d.N, err)
+	}
+	var config map[string]any
+	if err := json.Unmarshal(raw, &config); err != nil {
+		return fmt.Errorf("dispatcher %d: its configuration: %w", d.N, err)
+	}
+	config["known"] = known
+	if raw, err = json.MarshalIndent(config, "", " "); err != nil {
+		return fmt.Errorf("dispatcher %d: its configuration: %w", d.N, err)
+	}
+	return os.WriteFile(d.Config, raw, 0o600)
+}
+
 // Start starts the process. It ends with this one, however that ends.
 func (d *Dispatcher) Start() error {
 	run := d.Run
--- a/internal/lab/ways_test.go
+++ b/internal/lab/ways_test.go
@@ -141,6 +141,13 @@
 	assert.Equal(t, []int{1, 1}, []int{lost, wrong})
 	lost, _ = Unanswered(calls, func(x Try) bool { return x.Sent.Equal(t0) })
 	assert.Zero(t, lost)
+	crossed := []*Call{{Tries: []Try{{ID: id(0, 4, 0), Crossed: true}, {Status: 200}}}}
+	for want, boxes := range [][][]Sight{{once}, {once, {see(id(0, 4, 0), 0, 9, true, false)}}} {
+		lost, _ = Unanswered(crossed, nil, boxes...)
+		assert.Equal(t, want, lost, "a close that crossed a try that boxes saw, and one that none did")
+	}
+	lost, _ = Unanswered(crossed, nil)
+	assert.Equal(t, 1, lost, "nobody asked the boxes")
 	assert.InDelta(t, 1.0/3, Served(calls, t0, t0.Add(time.Second), nil), 1e-9)
 
 	late := []Sight{see(id(1, 1, 0), 0, 900, false, true), see(id(1, 2, 0), 0, 1200, false, true), see(id(2, 1, 0), 0, 1200, false, true)}
