--- a/cmd/oakthread/crossings_test.go
+++ b/cmd/oakthread/crossings_test.go
@@ -68,6 +68,7 @@
 // Guards a planned restart against further signals: a second SIGTERM and a SIGHUP while a call is in hand end nothing
 // early, the call is answered and the program exits with 0.
 func TestSignalsDuringTheEnd(t *testing.T) {
+	t.Parallel()
 	came, goOn := make(chan bool), make(chan bool)
 	ex := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { came <- true; <-goOn }))
 	defer ex.Close()
@@ -95,6 +96,7 @@
 
 // Guards a planned end before readiness, with discovery silent: exit code 0, and /ping never said yes.
 func TestEndBeforeReadiness(t *testing.T) {
+	t.Parallel()
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer silent.Close()
@@ -113,6 +115,7 @@
 // Guards the descriptors: idle clients take all places that they can while discovery is down. A usual client is still
 // answered, the watch comes back once discovery does, boxes are dialled, and the program neither ends nor spins.
 func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	t.Parallel()
 	ex := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
 	defer ex.Close()
 	later := freeAddr(t)
@@ -174,6 +177,7 @@
 
 // Guards against a program that fits one deployment: the same calls under settings of other kinds.
 func TestSettingsAlone(t *testing.T) {
+	t.Parallel()
 	var runs atomic.Int64
 	ex := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if runs.Add(1); r.Header.Get("X-Thing") == "00000000000000ee" {
@@ -271,6 +275,7 @@
 // Guards readiness after a restart: with a list in the configuration a program is ready within 10 s, whatever discovery does,
 // and eight that start at once are.
 func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	t.Parallel()
 	ex := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
 	defer ex.Close()
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections, by its backlog, and never says a word
--- a/cmd/oakthread/fleet_test.go
+++ b/cmd/oakthread/fleet_test.go
@@ -211,6 +211,7 @@
 // What only one should do, collect reports, passes to those that are left: four of six are killed at once, and from three terms
 // later on no term goes by in which the two others do not hear each other.
 func TestTurnsPassToTheLiving(t *testing.T) {
+	t.Parallel()
 	r := fleet(t, lab.RigSize{Dispatchers: 6, Boxes: 12, Zones: 3, Seed: 4, Load: lab.Load{Rate: 40, Models: 60, Zipf: 0.4, Retries: 1}})
 	living := func(n int) bool { return n == 1 || n == 4 }
 	ctx, enough := context.WithCancel(t.Context())
@@ -236,6 +237,7 @@
 // Totals stay one over a fleet that grows from three to six, has one killed and started anew in the terms of others and its own,
 // and shrinks again by planned ends: no row is counted for another, and who is new knows what the others know.
 func TestTotalsWhileTheFleetChanges(t *testing.T) {
+	t.Parallel()
 	net, err := lab.ClaimNet()
 	require.NoError(t, err)
 	t.Cleanup(net.Close)
@@ -338,13 +340,15 @@
 	began := span(t, 2*time.Second)
 	var ends, ready [4]time.Time // of each process that is restarted
 	restarted := make(chan error, 2)
+	soon, done := context.WithTimeout(t.Context(), 30*time.Second)
+	defer done()
 	for s := range steps {
 		require.NoError(t, r.Join(step))
 		r.Drain(func(box int) bool { return drained(box) && box/(boxes/steps) == s })
 		if n := s; n == 1 || n == 3 {
 			ends[n] = time.Now()
 			go func() {
-				err := r.Restart(t.Context(), n)
+				err := r.Restart(soon, n)
 				ready[n] = time.Now()
 				restarted <- err
 			}()
--- a/cmd/oakthread/main_test.go
+++ b/cmd/oakthread/main_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -62,14 +63,20 @@
 	require.Error(t, run(t.Context(), nil, environ(t, `{"listen":"127.0.0.1:0","settings":`+settings+`}`), []string{"-odd"}, slog.New(slog.DiscardHandler)))
 }
 
-// freeAddr is an address on a loopback number that other tests' sockets are not given.
+// given counts the loopback numbers that freeAddr has given out.
+var given atomic.Uint32
+
+// freeAddr is an address on a loopback number that no other socket of the tests is given, also while nobody listens there yet.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.77.0.1:0")
+	n := given.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n/250%250, 1+n%250))
 	require.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
 }
 
+// Tests that mostly wait for single programs, and two rigs whose bounds have much room, run beside each other, after all others.
+
 // The test binary is the program itself where this is set, so that signals and exit codes are the real ones.
 const asProgram = "OAKTHREAD_AS_PROGRAM"
 
@@ -103,6 +110,7 @@
 // Guards a planned restart: after SIGTERM a call in hand is answered, and only then does the program exit, with 0. What
 // cannot start exits with 1 and says why in one line.
 func TestSignalsAndExitCodes(t *testing.T) {
+	t.Parallel()
 	came, goOn := make(chan bool), make(chan bool)
 	ex := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { came <- true; <-goOn }))
 	defer ex.Close()
@@ -146,6 +154,7 @@
 // Guards against an end by SIGHUP: the command channel moves at once, with its cursor, while the old address stays
 // silent; a file that cannot be used changes nothing.
 func TestReloadMovesTheChannel(t *testing.T) {
+	t.Parallel()
 	asked := make(chan string, 4)
 	listen := func(name string) string {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -195,6 +204,7 @@
 
 // Guards the wiring: the program serves a call of the platform's protocol and ends well when it is told to.
 func TestProgramServes(t *testing.T) {
+	t.Parallel()
 	ex := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) }))
 	defer ex.Close()
 	addr, streams := freeAddr(t), freeAddr(t)
@@ -230,6 +240,7 @@
 // Guards a restart while discovery is down: the program serves from the list that it kept, sends nothing to the box that is
 // gone, and follows discovery again once it is back, under another epoch.
 func TestStartsWithoutDiscovery(t *testing.T) {
+	t.Parallel()
 	f := lab.PlannerFigures()
 	disc := lab.NewDiscovery("e1")
 	disc.Heart = 50 * time.Millisecond
@@ -311,6 +322,7 @@
 // Proof through the whole daemon on loopback: a sender books, repeats, alters and replays over sockets while a key
 // rotates and the daemon restarts; the executor and the receiver of notices count.
 func TestWebhooksThroughTheDaemon(t *testing.T) {
+	t.Parallel()
 	const bookings = 20
 	var mu sync.Mutex
 	booked, told, all := map[string]int{}, map[string]bool{}, make(chan bool)
