Both hosts' lists must end alike, and an order's end is shown to both

Cause: of the mends of the hollow host, that an order's end is shown to the list had no test that missed it.

Change: TestHostsActAlike compares when each executor last answered, as the lists have it; TestHostsShowOrdersToTheList has a load end after its call is over.

Two lines have no test that fails without them: an order to an executor that is not on the list, and a time-out of an order not shown.

--- a/internal/lab/calibrate_test.go
+++ b/internal/lab/calibrate_test.go
@@ -80,6 +80,7 @@
 	actions []action
 	calls0  []*simCall // of dispatcher 0
 	ends    [decide.Results]int64
+	proved  map[decide.WorkerID]time.Duration // when each executor last answered, as dispatcher 0's list has it, since the start of the run
 	lost    bool
 }
 
@@ -104,6 +105,13 @@
 	s.actions = append(s.actions, action{s.now.Sub(s.began), fmt.Sprintf(format, args...)})
 }
 
+func (s *stage) prove(rows []roster.Row) {
+	s.proved = map[decide.WorkerID]time.Duration{}
+	for _, r := range rows {
+		s.proved[r.ID] = r.Proved.Sub(s.began)
+	}
+}
+
 // loses tells whether this event is the one that does not come: the first of its kind in the second half of the calls' span; of
 // messages, of which each alone may change nothing, all of a second.
 func (s *stage) loses(kind string) bool {
@@ -298,6 +306,7 @@
 	s.run(s.began.Add(s.span + stageEnd))
 	assert.Empty(t, h.open, "calls without an end")
 	s.ends = h.ends
+	s.prove(h.list.Rows(s.now))
 	return s
 }
 
@@ -405,6 +414,7 @@
 	}
 	n := h.core.Counters()
 	s.ends = n.Ends
+	s.prove(h.keeper.Rows())
 	assert.Equal(t, n.Taken, n.Served+n.Refused+n.Failed+n.TimedOut, "calls without an end")
 	stop()
 	h.core.Close()
@@ -710,6 +720,7 @@
 			assert.Empty(t, firstApart(real.actions, hollow.actions))
 			assert.Empty(t, callsApart(real, hollow))
 			assert.Equal(t, real.ends, hollow.ends, "ends of attempts, by their result")
+			assert.Equal(t, real.proved, hollow.proved)
 			for r, n := range real.ends {
 				ends[r] += n
 			}
@@ -904,6 +915,29 @@
 	}
 }
 
+// What an order shows of an executor is told to the list at both hosts. The call that had it loaded is over before it ends, so
+// that nothing else is.
+func TestHostsShowOrdersToTheList(t *testing.T) {
+	p := play{seed: 1, asked: 1, span: 8 * time.Second, steady: true, script: func(s *stage) {
+		s.at(s.began.Add(5900*time.Millisecond), func() { s.f.Load = 8 * time.Second })
+		for i, at := range []time.Duration{time.Second, 6 * time.Second} {
+			c := &simCall{class: 0, model: 77, intended: s.began.Add(at), name: fmt.Sprintf("0.90%d", i)}
+			s.at(c.intended, func() { s.host.arrive(c) })
+		}
+	}}
+	real, hollow := playBoth(t, p, nil)
+	assert.Empty(t, firstApart(real.actions, hollow.actions))
+	assert.Equal(t, real.proved, hollow.proved)
+	var on decide.WorkerID
+	for _, a := range hollow.actions {
+		if a.at == 6*time.Second && a.kind() == "load" {
+			_, err := fmt.Sscanf(a.text, "load 1 of 4d at %d", &on)
+			require.NoError(t, err)
+		}
+	}
+	assert.Equal(t, 14*time.Second+2*simWay, hollow.proved[on])
+}
+
 // No script has the module call off, before its connection fails, what was not written; the platform's client proves that it never
 // ran (platform.failure), and so does the hollow host, when time or the module ends it.
 func TestHollowProvesWhatWasNotWritten(t *testing.T) {
