Chance makes no function hot, and a full place is waited for where many dispatch

Cause: with many dispatchers a fleet that starts empty stayed in a state that keeps itself up: nearly every load in a place of its own, queues full of calls that wait for loads, calls of standing copies turned away, which load elsewhere. places took one call within the keep-alive at one of 300 for 300, times a time of answers that holds the queues; a call turned away as full went on at once to where no copy was; a full place counted as tried.

Change: where many dispatch, the square root of the count is taken off in places; a call turned away with no copy expected elsewhere waits, its attempts evenly over its time; a full place gets one more chance. cold in refuse and the new rule share function.expected. Up to five dispatchers decide as before.

Both new tests were seen to fail without each part.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 
 	"oakthread/commons"
 	"oakthread/verdict"
@@ -266,7 +265,7 @@
 	if a == nil {
 		return
 	}
-	a.open, a.cut = false, o.Result == Reset || o.Result == Moot
+	a.open, a.excused = false, o.Result == Reset || o.Result == Moot || o.Result == Full && d.many() > 1
 	r, h := a.req, a.h
 	h.inflight--
 	d.learn(now, a, o)
@@ -294,8 +293,14 @@
 			return
 		}
 	}
-	if o.Result == Full && len(r.tries) > 1 { // a queue needs time to drain: at once others are full too
-		d.wakeAt(r, now+int64(d.stats[r.Class].mean/2))
+	// A queue needs time to drain: at once others are full too. If calls of many dispatchers went where no
+	// copy is expected, their loads would fill those queues too: they wait, attempts spread over their time.
+	if lone := d.many() > 1 && !r.fn.expected(now, h); o.Result == Full && (lone || len(r.tries) > 1) {
+		wait := d.stats[r.Class].mean / 2
+		if lone {
+			wait = float64(r.end(d)-now) / float64(d.set.MaxAttempts+1-len(r.tries))
+		}
+		d.wakeAt(r, now+int64(wait))
 		return
 	}
 	d.dispatch(now, r)
@@ -508,14 +513,15 @@
 func (d *Dispatcher) many() float64 { return max(1, float64(d.set.Siblings)/few) }
 
 // places is how many workers the calls of a function need, by Little's law: what we send, taken for every
-// dispatcher's share, at half of the lanes of one copy each. The call at hand does not count: of functions
-// called once by each of many dispatchers everyone would think them hot.
+// dispatcher's share, at half of the lanes of one copy each. The call at hand does not count, nor, where many
+// dispatch, what may be chance: of functions called once or twice by each everyone would think them hot.
 func (d *Dispatcher) places(now int64, r *request) float64 {
 	f := r.fn
 	keep := float64(d.keep())
 	long := keep * (1 - math.Exp(-float64(now-d.born+d.minAim/2)/keep)) // a new one has seen less
-	rate := f.calls * math.Exp(-float64(now-f.callsAt)/keep) / long
-	return rate * float64(d.set.Siblings) * d.stats[r.Class].mean / (placeLanes * float64(f.lanes))
+	n := f.calls * math.Exp(-float64(now-f.callsAt)/keep)
+	n = max(0, n-(1-1/d.many())*math.Sqrt(n))
+	return n / long * float64(d.set.Siblings) * d.stats[r.Class].mean / (placeLanes * float64(f.lanes))
 }
 
 func (d *Dispatcher) keep() int64 { return max(d.set.KeepAlive, d.minAim) }
@@ -780,7 +786,8 @@
 func (d *Dispatcher) refuse(now int64, q Request) bool {
 	// Repeats that clients mark go with what is over a share: clients that repeat at once must not crowd out
 	// first tries; nor do they count as asked within it. May harm a call refused for no fault of its own.
-	over := q.Repeat || d.rng.Float64() < d.excess(now, q.Tenant) || d.cold(now, q.Func)
+	f := d.funcs[funcTag(q.Func)]
+	over := q.Repeat || d.rng.Float64() < d.excess(now, q.Tenant) || f == nil || !f.expected(now, nil)
 	d.over -= learnMix * d.over
 	for i := range d.asked {
 		d.asked[i] -= learnMix * d.asked[i]
@@ -814,12 +821,6 @@
 	return now-d.born > 2*d.minAim && (late || full)
 }
 
-// cold tells whether a call needs a load, by our beliefs.
-func (d *Dispatcher) cold(now int64, id FuncID) bool {
-	f := d.funcs[funcTag(id)]
-	return f == nil || !slices.ContainsFunc(f.holders, func(h *holder) bool { return h.expected(now) })
-}
-
 // value is a class's worth for its work.
 func (d *Dispatcher) value(class int) float64 {
 	return d.set.Classes[class].Worth / d.stats[class].mean
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1696,3 +1696,85 @@
 		t.Errorf("load %.1f long after", l)
 	}
 }
+
+// A call that a full executor turns away comes again after a wait, its attempts evenly over its time, to the same place once
+// more, and only then goes elsewhere: if many dispatchers went on at once, each would load the function in a further place and
+// fill that queue too. It goes on at once where a copy is expected elsewhere, and where few dispatch.
+func TestFullPlaceIsWaitedForWhereManyDispatch(t *testing.T) {
+	const workers = 20
+	for _, c := range []struct {
+		siblings, walk int
+		elsewhere      bool // a copy is believed to stand at another executor
+		waits          bool
+	}{
+		{siblings: 3}, {siblings: 5}, {siblings: 24, waits: true}, {siblings: 300, waits: true},
+		{siblings: 300, walk: walkNever, waits: true}, {siblings: 300, elsewhere: true},
+	} {
+		s := settings(Safe, ScopeAll)
+		s.Siblings, s.Walk = c.siblings, c.walk
+		d, f := start(t, s, workers)
+		hear(d, 0)
+		d.Request(ms, call("a", ms, 9))
+		place := f.last["a"]
+		other := place%workers + 1
+		if c.elsewhere {
+			d.believe(ms, d.funcs[funcTag(9)].at(d.workers[other], true))
+		}
+		full := func(n int, now int64) {
+			d.Outcome(now, Outcome{ID: "a", Attempt: n, Worker: f.last["a"], Result: Full})
+		}
+		// until is when the next attempt goes out; 0: none does in time.
+		until := func(from int64) int64 {
+			for now, n := from, len(f.sends); now < 3000*ms; now += ms {
+				if d.Timer(now, f.ref); len(f.sends) > n {
+					return now
+				}
+			}
+			return 0
+		}
+		full(0, 2*ms)
+		if !c.waits {
+			if len(f.sends) != 2 || f.last["a"] == place || c.elsewhere && f.last["a"] != other {
+				t.Errorf("%+v: after full at %d the sends are %v", c, place, f.sends)
+			}
+			continue
+		}
+		if len(f.sends) != 1 {
+			t.Fatalf("%+v: a call turned away went on at once: %v", c, f.sends)
+		}
+		again := until(3 * ms)
+		if again == 0 || again > 2*ms+3000*ms/int64(s.MaxAttempts) || f.last["a"] != place {
+			t.Fatalf("%+v: turned away by %d at 2 ms, it came again at %d ms: %v", c, place, again/ms, f.sends)
+		}
+		full(1, again+ms)
+		if third := until(again + 2*ms); third == 0 || f.last["a"] == place {
+			t.Errorf("%+v: turned away twice by %d: %v", c, place, f.sends)
+		}
+	}
+}
+
+// A function that each of many dispatchers met twice lately is loaded in few places, also while answers are slow since queues
+// are long: else each takes chance, or clients that come again, for a hot function, and makes it a place of its own.
+func TestChanceMakesNoFunctionHot(t *testing.T) {
+	for _, walk := range []int{walkWhole, walkNever} {
+		const functions = 20
+		at := map[[2]int]bool{}
+		for i := range 40 {
+			s := settings(Safe, ScopeAll)
+			s.Siblings, s.Number, s.Walk = 300, i*7, walk
+			d, f := start(t, s, 120)
+			hear(d, 0)
+			d.stats[0] = stat{float64(1000 * ms), float64(500 * ms)}
+			for k := range functions {
+				r := call(fmt.Sprint(k), 8000*ms, FuncID(5+k*1_000_003))
+				fn := d.function(8000*ms, r)
+				fn.calls, fn.callsAt = 1, 8000*ms // the call at hand is the second
+				d.Request(8000*ms, r)
+				at[[2]int{k, int(f.last[r.ID])}] = true
+			}
+		}
+		if len(at) > 2*functions {
+			t.Errorf("walk %d: %d functions have %d places over 40 dispatchers", walk, functions, len(at))
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -116,7 +116,7 @@
 	n           int
 	open, ran   bool
 	trial, warm bool // warm: the copy was believed loaded
-	cut         bool // its connection was
+	excused     bool // nothing was seen of its worker: its connection was cut, or, at one of many dispatchers, a full queue turned it away
 }
 
 // worker's fields that each choice reads stand first: a candidate of a long list is in no cache.
@@ -263,14 +263,14 @@
 	return last
 }
 
-// tried tells whether w had its chance: an attempt that ended there, or two that were cut off.
+// tried tells whether w had its chance: an attempt that ended there, or two that are excused.
 func (r *request) tried(w *worker) bool {
-	cuts := 0
+	excused := 0
 	for _, a := range r.tries {
-		if a.w == w && a.cut {
-			cuts++
+		if a.w == w && a.excused {
+			excused++
 		}
-		if a.w == w && !a.cut || cuts > 1 {
+		if a.w == w && !a.excused || excused > 1 {
 			return true
 		}
 	}
@@ -298,6 +298,11 @@
 	return h != nil && h.until > now && h.sure
 }
 
+// expected tells whether a copy is believed to stand, or about to, at another holder than h; nil: at any.
+func (f *function) expected(now int64, h *holder) bool {
+	return slices.ContainsFunc(f.holders, func(x *holder) bool { return x != h && x.expected(now) })
+}
+
 // expected tells whether a copy is believed to stand there, or about to.
 func (h *holder) expected(now int64) bool { return h.until > now || h.inflight > 0 || h.ordered }
 
