What a message costs is reckoned before it is written

Cause: a digest too dear to be told was written in full, 16 texts at 960 executors, to learn its price, at each round and each call to a new holder; so were reports that wait for their price.

Change: commons.Message.Length tells the length of the texts, from the same code that lays them out; tell and Short ask it, and texts are written once they are paid for. A property test holds it against the texts (3 to 6,000 dispatchers, up to 700 counts, 200 pairs); seen to fail with the size of a pair wrong (with each text taken for the first it did not end).

--- a/commons/commons_test.go
+++ b/commons/commons_test.go
@@ -370,3 +370,25 @@
 		})
 	}
 }
+
+// The length of a message, by which it is paid for before it is written, is that of its texts.
+func TestLengthIsThatOfTheTexts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		siblings := rapid.SampledFrom([]int{3, 80, 300, 1_000, 1_900, 6_000}).Draw(t, "siblings")
+		figures := make([]float64, rapid.IntRange(0, figsMax).Draw(t, "figures"))
+		m := Message{Hub: rapid.Bool().Draw(t, "hub"), GoesOn: rapid.IntRange(0, 3).Draw(t, "goes on") == 0, Row: Row{Figures: figures},
+			Marks: make([]Mark, rapid.IntRange(0, 20).Draw(t, "marks")), Counts: make([]Count, rapid.SampledFrom([]int{0, 1, 61, 62, 63, 700}).Draw(t, "counts")),
+			Pairs: make([]Pair, rapid.SampledFrom([]int{0, 1, 30, 31, 32, 200}).Draw(t, "pairs"))}
+		m.Sum = Digest{Sums: figures, Gone: figures, Moved: figures, Covered: NewSet(siblings), Missing: NewSet(siblings)}
+		if rapid.Bool().Draw(t, "quoted") {
+			m.Row.Prev = figures
+		}
+		for i := range rapid.SampledFrom([]int{0, siblings - 1, siblings}).Draw(t, "covered") {
+			m.Sum.Covered.Add(i)
+		}
+		for i := range rapid.IntRange(0, 2).Draw(t, "missing") {
+			m.Sum.Missing.Add(i)
+		}
+		assert.Equal(t, Chars(m.Texts(siblings)), m.Length(siblings))
+	})
+}
--- a/commons/message.go
+++ b/commons/message.go
@@ -70,10 +70,21 @@
 	return n
 }
 
+// Length is what Chars would say of the texts of a message, without writing them.
+func (m Message) Length(siblings int) (chars int) {
+	room := make([]byte, 0, textMax)
+	for first := true; first || len(m.Counts)+len(m.Pairs) > 0; first = false {
+		raw, n, k := m.start(room, !first, siblings)
+		chars += base64.RawStdEncoding.EncodedLen(len(raw) + 3*n + 6*k)
+		m.Counts, m.Pairs = m.Counts[n:], m.Pairs[k:]
+	}
+	return chars
+}
+
 // Short is a digest cut to one text of so many characters at the most: its sums, and of the workers as many as there is room
 // for that some found silent and none heard. A digest that fits is as it was; one whose sums do not fit is left whole.
 func (m Message) Short(siblings, chars int) Message {
-	if !m.Hub || Chars(m.Texts(siblings)) <= chars {
+	if !m.Hub || m.Length(siblings) <= chars {
 		return m
 	}
 	short := m
@@ -93,30 +104,7 @@
 // Texts packs a message. siblings: of how many dispatchers the sets are.
 func (m Message) Texts(siblings int) (texts []string) {
 	for first := true; first || len(m.Counts)+len(m.Pairs) > 0; first = false {
-		goesOn := m.GoesOn || !first
-		raw, flags := append(make([]byte, 0, textMax), version, 0, 0), byte(0)
-		set := func(flag byte, on bool) bool {
-			if on {
-				flags |= flag
-			}
-			return on
-		}
-		set(flagHello, m.Hello)
-		set(flagHub, m.Hub)
-		if !set(flagGoesOn, goesOn) {
-			raw = m.first(raw, set, siblings)
-			if marks := m.Marks[:max(0, min(len(m.Marks), marksMax, (textMax-len(raw)-1)/4))]; len(marks) > 0 {
-				raw[0] |= marksHere
-				raw = append(raw, byte(len(marks)))
-				for _, x := range marks {
-					raw = append(binary.BigEndian.AppendUint16(raw, x.Worker), min(x.Good, 15)<<4|min(x.Bad, 15), x.Pace)
-				}
-			}
-		}
-		room := max(0, textMax-len(raw)) // of some thousand dispatchers the sets alone are too long: the host drops such a text
-		n := min(len(m.Counts), room/3, 255)
-		k := min(len(m.Pairs), (room-3*n)/6)
-		raw[1], raw[2] = flags, byte(n)
+		raw, n, k := m.start(make([]byte, 0, textMax), !first, siblings)
 		for _, c := range m.Counts[:n] {
 			b := byte(min(c.N, 63))
 			if c.Heard {
@@ -137,6 +125,34 @@
 	return texts
 }
 
+// start writes a text up to its counts into room, and tells how many counts and pairs follow. goesOn: it is not the first.
+func (m Message) start(room []byte, goesOn bool, siblings int) (raw []byte, counts, pairs int) {
+	raw, flags := append(room, version, 0, 0), byte(0)
+	set := func(flag byte, on bool) bool {
+		if on {
+			flags |= flag
+		}
+		return on
+	}
+	set(flagHello, m.Hello)
+	set(flagHub, m.Hub)
+	if !set(flagGoesOn, goesOn || m.GoesOn) {
+		raw = m.first(raw, set, siblings)
+		if marks := m.Marks[:max(0, min(len(m.Marks), marksMax, (textMax-len(raw)-1)/4))]; len(marks) > 0 {
+			raw[0] |= marksHere
+			raw = append(raw, byte(len(marks)))
+			for _, x := range marks {
+				raw = append(binary.BigEndian.AppendUint16(raw, x.Worker), min(x.Good, 15)<<4|min(x.Bad, 15), x.Pace)
+			}
+		}
+	}
+	left := max(0, textMax-len(raw)) // of some thousand dispatchers the sets alone are too long: the host drops such a text
+	counts = min(len(m.Counts), left/3, 255)
+	pairs = min(len(m.Pairs), (left-3*counts)/6)
+	raw[1], raw[2] = flags, byte(counts)
+	return raw, counts, pairs
+}
+
 // first writes the row or the digest.
 func (m Message) first(raw []byte, set func(byte, bool) bool, siblings int) []byte {
 	if !m.Hub {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -961,14 +961,13 @@
 	if m.Hub && in > term*3/4 && d.view.Stale { // a whole one is too dear for all of them
 		m = m.Short(d.set.Siblings, int(purse.left/char))
 	}
-	texts := m.Texts(d.set.Siblings)
-	cost := char * float64(commons.Chars(texts))
+	cost := char * float64(m.Length(d.set.Siblings))
 	if purse.last = cost; cost > purse.left {
 		return
 	}
 	purse.left -= cost
 	d.news, d.calls = d.news[:0], 0
-	for _, x := range texts {
+	for _, x := range m.Texts(d.set.Siblings) {
 		d.host.Tell(to, x)
 	}
 	if m.Hub {
