Service section counts what becomes of calls and loads, beside two yardsticks

Cause: the section told worth alone, so nobody could say how much of the fall with dispatchers was the model's and how much the program's.

Change: serviceSim counts ends of calls, what they met at boxes, loads begun and needless, copies pushed out, copies held; one dispatcher with all calls and an omniscient router stand beside both arms. New bound: ours at most 0.1 behind one dispatcher; the others stay.

--- a/internal/lab/box.go
+++ b/internal/lab/box.go
@@ -83,8 +83,12 @@
 	sent     []sentWork // while cold
 	busyTime float64    // decaying mean of cores at work
 	busyAt   time.Time
+	unloads  unloads
 }
 
+// unloads counts copies that went: idle ones pushed out by a load, idle ones that dispatchers had unloaded, and those idle for long.
+type unloads struct{ pushed, dropped, expired int }
+
 type sentWork struct {
 	at   time.Time
 	work time.Duration
@@ -178,6 +182,7 @@
 	for m, c := range b.copies {
 		if c.held == 0 && now.Sub(c.used) > b.cfg.Keep {
 			delete(b.copies, m)
+			b.unloads.expired++
 		}
 	}
 }
@@ -198,6 +203,7 @@
 		return false
 	}
 	delete(b.copies, oldest)
+	b.unloads.pushed++
 	return true
 }
 
@@ -316,5 +322,6 @@
 func (b *Box) Unload(model uint64) {
 	if c := b.copies[model]; c != nil && c.held == 0 {
 		delete(b.copies, model)
+		b.unloads.dropped++
 	}
 }
--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -585,46 +585,75 @@
 	return nil
 }
 
-// service sets busy fleets with the whole list walked beside ours: their executors are small and short of memory, so that what a
+// service sets busy fleets with the whole list walked beside ours, and two yardsticks: one dispatcher of this program that all calls
+// go through, and an omniscient router. The fleets' executors are small, short of memory and empty at the start, so that what a
 // choice loses is seen.
 func (c *capacity) service(ctx context.Context) error {
 	for _, s := range c.plan.service {
-		var worth, unserved [2][]float64
-		for arm, walk := range []int{math.MaxInt, s.walk} {
+		name := fmt.Sprintf("service, %d dispatchers, %d executors: ", s.dispatchers, s.executors)
+		var figures []map[string]float64 // by arm
+		for _, of := range serviceArms() {
+			dispatchers, walk := s.dispatchers, s.walk
+			if of == wholeWalk {
+				walk = math.MaxInt
+			} else if of == oneDispatcher {
+				dispatchers = 1
+			}
+			var runs []map[string]float64
 			for _, seed := range c.plan.seeds {
 				if err := ctx.Err(); err != nil {
 					return err
 				}
-				r, err := fleetSim(fleetFigures(), "calm", s.dispatchers, s.executors, true, walk, seed)
+				r, k, err := serviceSim(fleetFigures(), dispatchers, s.executors, walk, of == omniscient, seed)
 				if err != nil {
 					return fmt.Errorf("capacity: service: %w", err)
 				}
-				worth[arm], unserved[arm] = append(worth[arm], r.service), append(unserved[arm], r.unserved)
-				c.o.Log("service: %d dispatchers, %d executors, arm %d, seed %d: worth %.4f, unserved %.4f", s.dispatchers, s.executors, arm, seed, r.service, r.unserved)
-				c.rep.Most(fmt.Sprintf("service, %d dispatchers, arm %d, seed %d: path-books twice, late sends, boxes pushed over, calls without an end", s.dispatchers, arm, seed),
-					float64(r.twice+r.late+r.fallen+r.open), 0)
+				runs = append(runs, k.figures(r))
+				c.o.Log("%s%s, seed %d: worth %.4f, unserved %.4f; %s", name, of, seed, r.service, r.unserved, k)
+				if of != omniscient {
+					c.rep.Most(fmt.Sprintf("%s%s, seed %d: path-books twice, late sends, boxes pushed over, calls without an end", name, of, seed),
+						float64(r.twice+r.late+r.fallen+r.open), 0)
+				}
 				if s.dispatchers >= fewSeeds {
 					break
 				}
 			}
+			means := map[string]float64{}
+			for _, f := range serviceRows() {
+				means[f.name] = meanOf(runs, f.name)
+			}
+			figures = append(figures, means)
 		}
-		name := fmt.Sprintf("service, %d dispatchers, %d executors: ", s.dispatchers, s.executors)
-		c.rep.Row(name+"worth in time", "of that asked", mean(worth[0]), mean(worth[1]))
-		c.rep.Row(name+"calls never served", "of all", mean(unserved[0]), mean(unserved[1]))
-		c.rep.Least(name+"worth less that of the whole walk", mean(worth[1])-mean(worth[0]), -worthRoom)
+		for _, f := range serviceRows() {
+			c.rep.Row(name+f.name, f.unit, figures[0][f.name], figures[1][f.name])
+		}
+		worth := func(arm int) float64 { return figures[arm][worthInTime] }
+		for arm, of := range serviceArms() {
+			if arm > 1 {
+				c.rep.Row(name+worthInTime+", "+of, "of that asked", math.NaN(), worth(arm))
+			}
+		}
+		c.rep.Least(name+"worth less that of the whole walk", worth(1)-worth(0), -worthRoom)
+		c.rep.Least(name+"worth less that of one dispatcher with all calls", worth(1)-worth(2), -oneRoom)
 	}
 	return nil
 }
 
-// fewSeeds is from how many dispatchers on a busy fleet is run with the first seed alone.
-const fewSeeds = 1_000
+// The arms of a busy fleet; the last two are yardsticks.
+const (
+	wholeWalk     = "whole walk"
+	oursArm       = "ours"
+	oneDispatcher = "one dispatcher with all calls"
+	omniscient    = "an omniscient router"
+)
 
-func mean(xs []float64) (sum float64) {
-	for _, x := range xs {
-		sum += x / float64(len(xs))
-	}
-	return sum
-}
+func serviceArms() []string { return []string{wholeWalk, oursArm, oneDispatcher, omniscient} }
+
+const (
+	fewSeeds    = 1_000 // from how many dispatchers on a busy fleet is run with the first seed alone
+	oneRoom     = 0.1   // by which worth may fall below that of one dispatcher
+	worthInTime = "worth in time"
+)
 
 // faults plays each fault at size.
 func (c *capacity) faults(ctx context.Context) error {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -47,6 +47,7 @@
 	twice, late, fallen, open int
 	unwarned                  int // boxes that fell before anyone was told that they came cold
 	unserved, service         float64
+	later                     float64 // the same as service, of calls meant for the last twelve seconds
 	cold                      float64 // calls a second that the boxes that came cold served, as part of the others'
 	bytes                     float64 // of messages delivered, a call
 	oversize                  int
@@ -357,21 +358,32 @@
 	r.spoilt, r.avoided = w.boxes[0].spoilt, w.avoided
 	r.back = w.backAfter(fleetWarm+splitFor, fleetWarm)
 	r.cold = share(fresh) / max(1, share(stayed))
-	asked, earned, bad := 0.0, 0.0, 0
+	bad := 0
 	for _, c := range w.calls {
+		if !c.served {
+			bad++
+		}
+	}
+	r.unserved, r.service, r.later = float64(bad)/calls, w.worth(began), w.worth(from)
+	return r
+}
+
+// worth is that served of that asked by calls meant for a time on; late ones earn a fifth.
+func (w *simWorld) worth(from time.Time) float64 {
+	asked, earned := 0.0, 0.0
+	for _, c := range w.calls {
+		if c.intended.Before(from) {
+			continue
+		}
 		k := w.f.Classes[c.class]
 		asked += k.Worth
-		switch {
-		case !c.served:
-			bad++
-		case c.ended.Sub(c.intended) <= k.Aim:
+		if c.served && c.ended.Sub(c.intended) <= k.Aim {
 			earned += k.Worth
-		default:
+		} else if c.served {
 			earned += 0.2 * k.Worth
 		}
 	}
-	r.unserved, r.service = float64(bad)/calls, earned/max(1, asked)
-	return r
+	return earned / max(1, asked)
 }
 
 // backAfter is how long after a moment attempts a served call are as they were in the three seconds before another one.
--- /dev/null
+++ b/internal/lab/service.go
@@ -0,0 +1,278 @@
+package lab
+
+// This file owns what is counted in busy fleets on calm days (calls, loads, copies), and the omniscient router that stands
+// beside the program there as a yardstick. That router sees the true state of all boxes, which no dispatcher can; it must
+// never be part of what it measures.
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"oakthread/decide"
+)
+
+// callEnd is how the last try of a call that was never served ended.
+type callEnd int
+
+const (
+	unended    callEnd = iota // served, or no try of it came to an end
+	refused                   // by the module, before anything was sent
+	turnedAway                // by the module, after full boxes had turned it away
+	givenUp                   // out of time, or after a failure
+	callEnds
+)
+
+func (o *simOpen) refused() callEnd {
+	if o.full > 0 {
+		return turnedAway
+	} else if o.tries > 0 {
+		return givenUp
+	}
+	return refused
+}
+
+// serviceCounts is what became of a run's calls, loads and copies. Its nil value counts nothing.
+type serviceCounts struct {
+	ends         [callEnds]int // of calls never served
+	calls        int
+	inTime, late int
+	tries        [3]int // calls that came to a box and found a copy, began a load, waited for one
+	full         int    // calls turned away by a box
+	standing     int    // orders for what stood or was loading
+	fullOrders   int    // orders turned away
+	byCalls      int    // loads begun by calls
+	byOrders     int    // and by orders
+	needless     int    // of both: a copy stood elsewhere, with a lane free and fewer calls in hand than lanes
+	unloads
+	wait    time.Duration // that the loads take, queueing at their box with it, in all
+	copies  []int         // standing in the whole fleet, each second
+	loading []int         // and loading
+}
+
+// arrived counts a job that came to a box.
+func (k *serviceCounts) arrived(w *simWorld, x *simBox, j *Job, v Verdict) {
+	switch {
+	case k == nil:
+		return
+	case v != Taken && j.Order:
+		k.fullOrders++
+		return
+	case v != Taken:
+		k.full++
+		return
+	case !j.Order:
+		k.tries[j.Note]++
+	case j.Note != Spawn:
+		k.standing++
+	}
+	if j.Note != Spawn {
+		return
+	}
+	if k.wait += x.box.copies[j.Model].ready.Sub(w.now); j.Order {
+		k.byOrders++
+	} else {
+		k.byCalls++
+	}
+	for _, other := range w.boxes {
+		if other != x && other.box.light(w.now, j.Model) {
+			k.needless++
+			break
+		}
+	}
+}
+
+// light tells whether a copy of a model stands here that would run one more call soon.
+func (b *Box) light(now time.Time, model uint64) bool {
+	c := b.copies[model]
+	if c == nil || c.ready.After(now) || c.held >= c.lanes {
+		return false
+	}
+	queue, _ := b.Report(now)
+	return len(b.running)+queue < c.lanes
+}
+
+// sample counts the fleet's copies.
+func (k *serviceCounts) sample(w *simWorld) {
+	standing, loading := 0, 0
+	for _, x := range w.boxes {
+		for _, c := range x.box.copies {
+			if c.ready.After(w.now) {
+				loading++
+			} else {
+				standing++
+			}
+		}
+	}
+	k.copies, k.loading = append(k.copies, standing), append(k.loading, loading)
+}
+
+// close counts the calls.
+func (k *serviceCounts) close(w *simWorld) {
+	for _, c := range w.calls {
+		switch k.calls++; {
+		case !c.served:
+			k.ends[c.end]++
+		case c.ended.Sub(c.intended) <= w.f.Classes[c.class].Aim:
+			k.inTime++
+		default:
+			k.late++
+		}
+	}
+	for _, x := range w.boxes {
+		k.pushed += x.box.unloads.pushed
+		k.dropped += x.box.unloads.dropped
+		k.expired += x.box.unloads.expired
+	}
+}
+
+// serviceRow is a figure of a busy fleet.
+type serviceRow struct{ name, unit string }
+
+func serviceRows() []serviceRow {
+	return []serviceRow{{worthInTime, "of that asked"}, {worthInTime + ", calls of the last 12 s", "of that asked"}, {"calls never served", "of all"},
+		{"calls late", "of all"}, {"never served: refused before a send", "of all"}, {"never served: turned away by full boxes", "of all"},
+		{"never served: given up", "of all"}, {"turned away by a box", "a call"}, {"loads", "a call"}, {"loads ordered", "a call"},
+		{"loads needless", "a call"}, {"idle copies pushed out by loads", "a call"}, {"a load takes", "s"}, {"copies standing, at the end", "in all"},
+		{"copies loading, at the end", "in all"}}
+}
+
+func (k *serviceCounts) figures(r *fleetResult) map[string]float64 {
+	of := func(n int) float64 { return float64(n) / float64(max(1, k.calls)) }
+	loads := k.byCalls + k.byOrders
+	values := []float64{r.service, r.later, r.unserved, of(k.late), of(k.ends[refused]), of(k.ends[turnedAway]), of(k.ends[givenUp]), of(k.full), of(loads),
+		of(k.byOrders), of(k.needless), of(k.pushed), k.wait.Seconds() / float64(max(1, loads)), float64(k.copies[len(k.copies)-1]),
+		float64(k.loading[len(k.loading)-1])}
+	out := map[string]float64{}
+	for i, row := range serviceRows() {
+		out[row.name] = values[i]
+	}
+	return out
+}
+
+func (k *serviceCounts) String() string {
+	return fmt.Sprintf("%d calls: %d in time, %d late, %d refused, %d turned away, %d given up; at boxes %d found a copy, %d began a load, %d waited for one, %d full; "+
+		"%d loads ordered, %d orders for what was there, %d refused; %d loads needless; unloaded %d pushed out, %d by order, %d idle",
+		k.calls, k.inTime, k.late, k.ends[refused], k.ends[turnedAway], k.ends[givenUp], k.tries[Hit], k.tries[Spawn], k.tries[Pending], k.full,
+		k.byOrders, k.standing, k.fullOrders, k.needless, k.pushed, k.dropped, k.expired)
+}
+
+// foresee routes a call by the true state of all boxes: to the standing copy that answers first; where none does within half
+// of its aim and none is being loaded, one is ordered where it will stand soonest. A call for which no copy stands is held.
+func (s *simNode) foresee(c *simCall) {
+	w, class := s.w, s.w.f.Classes[c.class]
+	deadline := c.intended.Add(class.GiveUp - 200*time.Millisecond)
+	work := w.f.Work(c.class, c.name)
+	var best, place *simBox
+	var first, soonest, loaded time.Time
+	for _, x := range w.boxes {
+		b := x.box
+		if b.Draining() || b.Fallen() || x.fate != stays {
+			continue
+		}
+		free := w.now.Add(b.backlog(w.now) + work)
+		if cp := b.copies[c.model]; cp != nil && cp.ready.After(w.now) {
+			if loaded.IsZero() || cp.ready.Before(loaded) {
+				loaded = cp.ready
+			}
+		} else if cp != nil {
+			if len(b.waiting) < b.cfg.Queue && (best == nil || free.Before(first)) {
+				best, first = x, free
+			}
+		} else if at := w.now.Add(b.loadWait(w.now, w.f.Load) + b.backlog(w.now)/2); b.roomy(w.now) && (place == nil || at.Before(soonest)) {
+			place, soonest = x, at
+		}
+	}
+	if (best == nil || first.After(c.intended.Add(class.Aim/2))) && loaded.IsZero() && place != nil {
+		j := &Job{Model: c.model, Load: w.f.Load, Lanes: w.f.Lanes, Order: true, Data: func() {}}
+		v := place.box.Arrive(w.now, j)
+		if w.counts.arrived(w, place, j, v); v == Taken {
+			loaded = place.box.copies[c.model].ready
+			w.advance(place)
+		}
+	}
+	switch {
+	case best != nil && !first.After(deadline):
+		s.sendForeseen(c, best, deadline)
+	case !loaded.IsZero() && loaded.Before(deadline):
+		w.at(loaded, func() { s.foresee(c) })
+	case w.now.Add(10 * time.Millisecond).Before(deadline):
+		w.after(10*time.Millisecond, func() { s.foresee(c) })
+	default:
+		c.end, c.ended = givenUp, w.now
+	}
+}
+
+func (s *simNode) sendForeseen(c *simCall, x *simBox, deadline time.Time) {
+	w, over := s.w, false
+	w.at(deadline, func() {
+		if !over {
+			over, c.end, c.ended = true, givenUp, w.now
+		}
+	})
+	w.reach(s, x, c.name+"."+strconv.Itoa(c.tries), &simOpen{call: c, began: w.now, deadline: deadline}, func(r decide.Result, _ decide.Warmth, _ int, _ []float64) {
+		if over {
+			return
+		}
+		over = true
+		if r == decide.OK {
+			c.served, c.ended = true, w.now
+			return
+		}
+		c.end = turnedAway
+		s.again(c, 10*time.Millisecond, r == decide.Full)
+	})
+}
+
+// backlog is the time that the calls here whose copies stand will take its cores.
+func (b *Box) backlog(now time.Time) (sum time.Duration) {
+	for _, j := range b.running {
+		sum += max(0, j.done.Sub(now))
+	}
+	for _, j := range b.waiting {
+		if !j.Order {
+			sum += j.Work
+		}
+	}
+	return sum / time.Duration(max(1, b.cfg.Cores))
+}
+
+// loadWait is how long a load that begins now would take.
+func (b *Box) loadWait(now time.Time, load time.Duration) time.Duration {
+	loading := 0
+	for _, c := range b.copies {
+		if c.ready.After(now) {
+			loading++
+		}
+	}
+	return load * time.Duration(1+loading/max(1, b.cfg.Loads))
+}
+
+// roomy tells whether a copy more would push out none that was called within half of the keep-alive.
+func (b *Box) roomy(now time.Time) bool {
+	if len(b.copies) < b.cfg.Copies {
+		return true
+	}
+	for _, c := range b.copies {
+		if c.held == 0 && now.Sub(c.used) > b.cfg.Keep/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// serviceSim runs a calm day of a busy fleet and counts. oracle: by the omniscient router.
+func serviceSim(f *Figures, dispatchers, boxes, walk int, oracle bool, seed uint64) (*fleetResult, *serviceCounts, error) {
+	w, err := fleetWorld(f, dispatchers, boxes, true, walk, seed)
+	if err != nil {
+		return nil, nil, err
+	}
+	w.counts, w.oracle = &serviceCounts{}, oracle
+	end := fleetWarm + fleetTrouble + fleetWatch
+	for at := time.Second; at <= end; at += time.Second {
+		w.at(w.began.Add(at), func() { w.counts.sample(w) })
+	}
+	w.run(w.began.Add(end + fleetEnd))
+	w.counts.close(w)
+	return w.fleetResult(nil, w.boxes, w.began), w.counts, nil
+}
--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -138,6 +138,9 @@
 	sends   []int // attempts begun, by tenths of a second since began
 	goods   []int // calls served, the same
 
+	counts *serviceCounts // of a busy fleet; nil: nothing is counted
+	oracle bool           // calls go by the true state of all boxes, and no dispatcher is asked
+
 	hollow *hollowWorld // what a run of hollow dispatchers has beside; nil: another experiment
 }
 
@@ -165,6 +168,7 @@
 	ran      int // at a box
 	name     string
 	cold     bool // it found no copy, or was held for one
+	end      callEnd
 }
 
 // simNode is one dispatcher.
@@ -184,6 +188,7 @@
 	call     *simCall
 	began    time.Time
 	tries    int
+	full     int // of them, turned away by a full box
 	deadline time.Time
 	flights  []*simFlight // by attempt
 }
@@ -282,6 +287,10 @@
 
 // arrive is a try of a call.
 func (s *simNode) arrive(c *simCall) {
+	if s.w.oracle {
+		s.foresee(c)
+		return
+	}
 	if s.dead || len(s.members) == 0 {
 		s.again(c, 200*time.Millisecond, true)
 		return
@@ -345,7 +354,9 @@
 		if fl.over || s.dead {
 			return
 		}
-		fl.over = true
+		if fl.over = true; r == decide.Full {
+			o.full++
+		}
 		if r == decide.OK && s.open[id] == o {
 			s.end(id, o, true)
 			s.w.tally(&s.w.goods)
@@ -407,6 +418,7 @@
 		w.after(simWay, func() { land(decide.OK, warm, j.Same, rep) })
 	}
 	v := x.box.Arrive(w.now, j)
+	w.counts.arrived(w, x, j, v)
 	if x.box.Draining() {
 		first, known := s.told[x.id]
 		if !x.drained.IsZero() {
@@ -475,6 +487,7 @@
 func (s *simNode) Refuse(id string, wait int64) {
 	if o := s.open[id]; o != nil {
 		s.end(id, o, false)
+		o.call.end = o.refused()
 		if wait <= 0 {
 			wait = int64(200 * time.Millisecond)
 		}
@@ -485,6 +498,7 @@
 func (s *simNode) Fail(id string) {
 	if o := s.open[id]; o != nil {
 		s.end(id, o, false)
+		o.call.end = givenUp
 		s.w.after(0, func() { s.again(o.call, 200*time.Millisecond, false) })
 	}
 }
@@ -507,7 +521,8 @@
 	s.w.after(simWay, func() {
 		j := &Job{Model: uint64(f), Load: s.w.f.Load, Lanes: s.w.f.Lanes, Order: true}
 		j.Data = func() { s.w.after(simWay, func() { loaded(1, decide.OK) }) }
-		if x.box.Arrive(s.w.now, j) != Taken {
+		v := x.box.Arrive(s.w.now, j)
+		if s.w.counts.arrived(s.w, x, j, v); v != Taken {
 			s.w.after(simWay, func() { loaded(0, decide.Full) })
 			return
 		}
