--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -140,6 +140,9 @@
 	sends   []int // attempts begun, by tenths of a second since began
 	goods   []int // calls served, the same
 
+	counts *serviceCounts // of a busy fleet; nil: nothing is counted
+	oracle bool           // calls go by the true state of all boxes, and no dispatcher is asked
+
 	hollow *hollowWorld // what a run of hollow dispatchers has beside; nil: another experiment
 }
 
@@ -167,6 +170,7 @@
 	ran      int // at a box
 	name     string
 	cold     bool // it found no copy, or was held for one
+	end      callEnd
 }
 
 // simNode is one dispatcher: the real list and the real module, before a host that does with what the module orders as the core
@@ -198,6 +202,7 @@
 	call     *simCall
 	began    time.Time
 	tries    int
+	full     int // of them, turned away by a full box
 	deadline time.Time
 }
 
@@ -329,6 +334,10 @@
 
 // arrive is a try of a call.
 func (s *simNode) arrive(c *simCall) {
+	if s.w.oracle {
+		s.foresee(c)
+		return
+	}
 	if s.dead || len(s.members) == 0 {
 		s.again(c, 200*time.Millisecond, true)
 		return
@@ -435,6 +444,9 @@
 		return
 	}
 	delete(s.flights, fl.key)
+	if fl.open != nil && r == decide.Full {
+		fl.open.full++
+	}
 	if o := fl.open; o != nil && r == decide.OK && s.open[fl.key.id] == o {
 		s.end(fl.key.id, o, true)
 		s.w.tally(&s.w.goods)
@@ -544,6 +556,7 @@
 		w.after(simWay, func() { land(decide.OK, warm, j.Same, rep) })
 	}
 	v := x.box.Arrive(w.now, j)
+	w.counts.arrived(w, x, j, v)
 	if x.box.Draining() {
 		first, known := s.told[x.id]
 		if !x.drained.IsZero() {
@@ -611,6 +624,7 @@
 func (s *simNode) Refuse(id string, wait int64) {
 	if o := s.open[id]; o != nil {
 		s.end(id, o, false)
+		o.call.end = o.refused()
 		if wait <= 0 {
 			wait = int64(200 * time.Millisecond)
 		}
@@ -621,6 +635,7 @@
 func (s *simNode) Fail(id string) {
 	if o := s.open[id]; o != nil {
 		s.end(id, o, false)
+		o.call.end = givenUp
 		s.w.after(0, func() { s.again(o.call, 200*time.Millisecond, false) })
 	}
 }
@@ -665,7 +680,8 @@
 func (w *simWorld) order(x *simBox, f decide.FuncID, answered func(copies int, r decide.Result)) {
 	j := &Job{Model: uint64(f), Load: w.f.Load, Lanes: w.f.Lanes, Order: true}
 	j.Data = func() { w.after(simWay, func() { answered(1, decide.OK) }) }
-	if x.box.Arrive(w.now, j) != Taken {
+	v := x.box.Arrive(w.now, j)
+	if w.counts.arrived(w, x, j, v); v != Taken {
 		w.after(simWay, func() { answered(0, decide.Full) })
 		return
 	}
