--- a/internal/lab/service.go
+++ b/internal/lab/service.go
@@ -210,7 +210,7 @@
 			over, c.end, c.ended = true, givenUp, w.now
 		}
 	})
-	w.reach(s, x, c.name+"."+strconv.Itoa(c.tries), &simOpen{call: c, began: w.now, deadline: deadline}, func(r decide.Result, _ decide.Warmth, _ int, _ []float64) {
+	w.reach(s, x, c.name+"."+strconv.Itoa(c.tries), c, func(r decide.Result, _ decide.Warmth, _ int, _ []float64) {
 		if over {
 			return
 		}
