--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -55,6 +55,8 @@
 	spoilt                    int     // calls that a box spoilt that fails at once
 	avoided                   float64 // seconds until nine in ten dispatchers avoid it; the whole trouble where they never do
 	back                      float64 // seconds from the end of a split until attempts a served call were as before
+	tries                     float64 // attempts a served call in the four seconds after the end of a split
+	kept                      float64 // calls served a second in these, of those in the three seconds before the split
 }
 
 // Fleet runs the experiment: three troubles over the number of dispatchers, with and without messages.
@@ -90,6 +92,8 @@
 			row("calls never served", "%", func(r *fleetResult) float64 { return 100 * r.unserved })
 			if kind == "split" || kind == "parted" {
 				row("until attempts a served call are as before", "s", func(r *fleetResult) float64 { return r.back })
+				row("served in the four seconds after, a second", "of before", func(r *fleetResult) float64 { return r.kept })
+				row("attempts in these", "a served call", func(r *fleetResult) float64 { return r.tries })
 				row("attempts that reached nobody", "a call", func(r *fleetResult) float64 { return r.unreached })
 			} else if kind == "fails" {
 				row("calls spoilt", "", func(r *fleetResult) float64 { return float64(r.spoilt) })
@@ -357,6 +361,9 @@
 	}
 	r.spoilt, r.avoided = w.boxes[0].spoilt, w.avoided
 	r.back = w.backAfter(fleetWarm+splitFor, fleetWarm)
+	sends, goods := w.tallied(fleetWarm+splitFor, fleetWarm+splitFor+4*time.Second)
+	_, before := w.tallied(fleetWarm-3*time.Second, fleetWarm)
+	r.tries, r.kept = float64(sends)/float64(max(1, goods)), float64(goods)/4/(float64(max(1, before))/3)
 	r.cold = share(fresh) / max(1, share(stayed))
 	bad := 0
 	for _, c := range w.calls {
@@ -386,13 +393,18 @@
 	return earned / max(1, asked)
 }
 
+// tallied counts the attempts begun and the calls served from one moment of the run to another.
+func (w *simWorld) tallied(from, until time.Duration) (sends, goods int) {
+	for i := int(from / (100 * time.Millisecond)); i < int(until/(100*time.Millisecond)) && i < min(len(w.sends), len(w.goods)); i++ {
+		sends, goods = sends+w.sends[i], goods+w.goods[i]
+	}
+	return sends, goods
+}
+
 // backAfter is how long after a moment attempts a served call are as they were in the three seconds before another one.
 func (w *simWorld) backAfter(end, calm time.Duration) float64 {
 	ratio := func(from, until time.Duration) float64 {
-		a, b := 0, 0
-		for i := int(from / (100 * time.Millisecond)); i < int(until/(100*time.Millisecond)) && i < min(len(w.sends), len(w.goods)); i++ {
-			a, b = a+w.sends[i], b+w.goods[i]
-		}
+		a, b := w.tallied(from, until)
 		return float64(a) / float64(max(1, b))
 	}
 	before := ratio(calm-3*time.Second, calm)
