--- /dev/null
+++ b/internal/fault/wallclock/wallclock_test.go
@@ -0,0 +1,27 @@
+//go:build linux && amd64 && cgo
+
+package wallclock
+
+import (
+	"testing"
+	"time"
+)
+
+// A step moves the wall alone: what is measured by the monotonic clock goes on, and a step back undoes it.
+func TestSetMovesTheWallAlone(t *testing.T) {
+	const tolerance = 30 * time.Second
+	begun := time.Now()
+	system := begun.Round(0)
+	for _, offset := range []time.Duration{-time.Hour, 5 * time.Second, time.Hour, 0} {
+		if err := Set(offset); err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		if monotonic := now.Sub(begun); monotonic < 0 || monotonic > tolerance {
+			t.Errorf("offset %v: the monotonic clock moved by %v", offset, monotonic)
+		}
+		if wall := now.Round(0).Sub(system) - offset; wall < -time.Second || wall > tolerance {
+			t.Errorf("offset %v: the wall clock is off by a further %v", offset, wall)
+		}
+	}
+}
