Transient errors end nothing, and no connection with a request on it is closed

Cause: net/http ends its server on most errors of accept; the limiter of clients' connections chose among all without a call in hand, also with a request unread, or read and not taken yet, or whose bytes had just left the kernel; X-Budget was worded before the connection to the executor was there. A connect that failed for want of ports, buffers or descriptors counted as the executor's.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -25,6 +25,7 @@
 
 	"oakthread"
 	"oakthread/decide"
+	"oakthread/internal/netfault"
 	"oakthread/service"
 )
 
@@ -135,7 +136,7 @@
 	srv.SetKeepAlivesEnabled(false) // one call a connection
 	go c.follow(ctx)
 	go func() { <-ctx.Done(); _ = srv.Close() }()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(netfault.NewListener(ln, c.log)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("console: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/internal/netfault/netfault_test.go
@@ -0,0 +1,145 @@
+package netfault
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestClassify(t *testing.T) {
+	wrap := func(err error) error {
+		return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	for err, want := range map[error]Kind{
+		syscall.EINTR: Interrupted, syscall.EMFILE: Shortage, syscall.ENOBUFS: Shortage, syscall.EADDRNOTAVAIL: Shortage,
+		syscall.ENETUNREACH: Shortage, syscall.ECONNREFUSED: Connection, syscall.EHOSTUNREACH: Connection, syscall.EPROTO: Connection,
+		syscall.ETIMEDOUT: Timeout, os.ErrDeadlineExceeded: Timeout, net.ErrClosed: Closed, syscall.EBADF: Closed,
+		syscall.EINVAL: Closed, syscall.ELOOP: Unknown, errors.New("odd"): Unknown,
+	} {
+		assert.Equal(t, want, Classify(wrap(err)), "%v", err)
+		assert.Equal(t, want == Closed, EndsListener(wrap(err)), "%v", err)
+		assert.Equal(t, want == Shortage || want == Interrupted, IsShortage(wrap(err)), "%v", err)
+	}
+}
+
+func TestBackoffIsBounded(t *testing.T) {
+	var b Backoff
+	var waits []time.Duration
+	for range 10 {
+		waits = append(waits, b.Next())
+	}
+	assert.Equal(t, 5*time.Millisecond, waits[0])
+	assert.Equal(t, 10*time.Millisecond, waits[1])
+	assert.Equal(t, time.Second, waits[9])
+	b.Reset()
+	assert.Equal(t, 5*time.Millisecond, b.Next())
+}
+
+// scriptedListener fails as told, then accepts.
+type scriptedListener struct {
+	net.Listener
+	mu   sync.Mutex
+	errs []error
+}
+
+func (l *scriptedListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	if len(l.errs) > 0 {
+		err := l.errs[0]
+		l.errs = l.errs[1:]
+		l.mu.Unlock()
+		return nil, err
+	}
+	l.mu.Unlock()
+	return l.Listener.Accept()
+}
+
+func TestListenerGoesOn(t *testing.T) {
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var log bytes.Buffer
+	l := NewListener(&scriptedListener{Listener: in, errs: []error{syscall.ENOBUFS, syscall.EPROTO, errors.New("odd")}},
+		slog.New(slog.NewTextHandler(&log, nil)))
+	out, err := net.Dial("tcp", in.Addr().String())
+	require.NoError(t, err)
+	defer out.Close()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	assert.EqualValues(t, 3, l.Failed())
+	assert.Equal(t, 1, bytes.Count(log.Bytes(), []byte("accept failed")), "one line a second")
+	ended := make(chan error, 1)
+	go func() { _, err := l.Accept(); ended <- err }()
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, <-ended, net.ErrClosed)
+}
+
+// An Accept that waits for its next try ends with the listener.
+func TestListenerClosedWhileItWaits(t *testing.T) {
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	errs := make([]error, 1000)
+	for i := range errs {
+		errs[i] = syscall.EMFILE
+	}
+	script := &scriptedListener{Listener: in, errs: errs}
+	l := NewListener(script, slog.New(slog.DiscardHandler))
+	ended := make(chan error, 1)
+	go func() { _, err := l.Accept(); ended <- err }()
+	for l.Failed() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, <-ended, net.ErrClosed)
+}
+
+// flakyConn fails every other call with a shortage, after one byte of each write.
+type flakyConn struct {
+	net.Conn
+	calls int
+	got   bytes.Buffer
+	err   error
+}
+
+func (c *flakyConn) Read(b []byte) (int, error) {
+	if c.calls++; c.calls%2 == 1 {
+		return 0, c.err
+	}
+	return copy(b, "ab"), nil
+}
+
+func (c *flakyConn) Write(b []byte) (int, error) {
+	if c.calls++; c.calls%2 == 1 {
+		c.got.Write(b[:1])
+		return 1, c.err
+	}
+	return c.got.Write(b)
+}
+
+func TestReadAndWriteGoOn(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM} {
+		c := &flakyConn{err: fmt.Errorf("write: %w", errno)}
+		n, err := Write(c, []byte("answer"))
+		require.NoError(t, err)
+		assert.Equal(t, 6, n)
+		assert.Equal(t, "answer", c.got.String())
+		c.calls = 0
+		n, err = Read(c, make([]byte, 8))
+		require.NoError(t, err)
+		assert.Equal(t, 2, n)
+	}
+	c := &flakyConn{err: syscall.ECONNRESET}
+	_, err := Write(c, []byte("answer"))
+	require.ErrorIs(t, err, syscall.ECONNRESET, "an error of the connection ends the write")
+	assert.Equal(t, "a", c.got.String())
+}
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"oakthread/decide"
+	"oakthread/rules"
 )
 
 // This file holds the reproductions of the faults that were found before the hunt of issue 38.
@@ -133,3 +137,163 @@
 	assert.LessOrEqual(t, <-told, left+slack)
 	s.over()
 }
+
+// acceptedPair is a connection as a limiter holds it, and its client's end.
+func acceptedPair(t *testing.T, l *connLimiter) (*clientConn, *net.TCPConn) {
+	out, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { out.Close() })
+	in, err := l.Accept()
+	require.NoError(t, err)
+	return in.(*clientConn), out.(*net.TCPConn)
+}
+
+func newTestLimiter(t *testing.T, places int) *connLimiter {
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { in.Close() })
+	return newConnLimiter(in, places, quiet)
+}
+
+// longQuiet has a connection count as silent for an hour.
+func longQuiet(c *clientConn) {
+	c.limiter.mu.Lock()
+	c.since = c.since.Add(-time.Hour)
+	c.limiter.mu.Unlock()
+}
+
+// waitUnread waits until bytes lie with the kernel.
+func waitUnread(c *clientConn) {
+	for !unread(c.Conn) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// No connection is closed for another on which a byte of a request has come, whether it was read or not: the other waits
+// until one has its answer.
+func TestNoneGivesWayWithARequestOnIt(t *testing.T) {
+	const part = "POST /call"
+	for name, read := range map[string]bool{"unread": false, "read, not taken": true} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLimiter(t, 1)
+			held, client := acceptedPair(t, l)
+			_, err := io.WriteString(client, part)
+			require.NoError(t, err)
+			waitUnread(held)
+			if read {
+				_, err := io.ReadFull(held, make([]byte, len(part)))
+				require.NoError(t, err)
+			}
+			longQuiet(held)
+			next, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer next.Close()
+			accepted := make(chan error, 1)
+			go func() { _, err := l.Accept(); accepted <- err }()
+			select {
+			case <-accepted:
+				t.Fatal("a connection with a request on it was closed for another")
+			case <-time.After(2 * rulesNewLeast):
+			}
+			assert.False(t, held.gone)
+			require.NoError(t, held.Close())
+			require.NoError(t, <-accepted)
+		})
+	}
+}
+
+// rulesNewLeast is the longest time that a connection must have been quiet before it is closed for another.
+var rulesNewLeast = rules.QuietLeast(false)
+
+// heldReadConn holds the end of a read back: its bytes have left the kernel, and nobody has counted them.
+type heldReadConn struct {
+	*net.TCPConn
+	read, goOn chan struct{}
+}
+
+func (c *heldReadConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		close(c.read)
+		<-c.goOn
+	}
+	return n, err
+}
+
+// A request whose bytes have just left the kernel, and which nobody has counted yet, keeps its connection.
+func TestNoneGivesWayWhileItIsRead(t *testing.T) {
+	l := newTestLimiter(t, 1)
+	held, client := acceptedPair(t, l)
+	stand := &heldReadConn{TCPConn: held.Conn.(*net.TCPConn), read: make(chan struct{}), goOn: make(chan struct{})}
+	held.Conn = stand
+	got := make(chan error, 1)
+	go func() { _, err := held.Read(make([]byte, 64)); got <- err }()
+	_, err := io.WriteString(client, "POST /call")
+	require.NoError(t, err)
+	<-stand.read
+	longQuiet(held)
+	l.mu.Lock()
+	_, made := l.makeRoom(time.Now())
+	l.mu.Unlock()
+	assert.False(t, made)
+	close(stand.goOn)
+	require.NoError(t, <-got, "the read that had bytes")
+	assert.False(t, held.gone)
+	assert.False(t, held.isEvicting())
+}
+
+// A connection that waits in a read with nothing on it is closed by its reader.
+func TestSilentOneGivesWayWhileItIsRead(t *testing.T) {
+	l := newTestLimiter(t, 1)
+	held, client := acceptedPair(t, l)
+	got := make(chan error, 1)
+	go func() { _, err := held.Read(make([]byte, 64)); got <- err }()
+	for reading := false; !reading; {
+		l.mu.Lock()
+		reading = held.reading
+		l.mu.Unlock()
+	}
+	longQuiet(held)
+	next, _ := acceptedPair(t, l)
+	require.ErrorIs(t, <-got, io.EOF)
+	assert.False(t, next.gone)
+	_, err := client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// A connect that fails for want of this machine's tells nothing of the executor: it is tried again, and where it lasts
+// the attempt never ran.
+func TestShortagesProveNothing(t *testing.T) {
+	b := newBox(t, nil)
+	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.ENETUNREACH, syscall.EPERM, syscall.EAGAIN} {
+		f := NewFleet(setup(t), 10)
+		dial, fails := f.reach, 3
+		f.reach = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if fails--; fails >= 0 {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", errno)}
+			}
+			return dial(ctx, network, addr)
+		}
+		assert.Equal(t, decide.OK, f.Send(t.Context(), attempt(member(b.addr()), "x")).Result, "%v", errno)
+		assert.EqualValues(t, 3, f.shortages.Load())
+		f.Close()
+		f = NewFleet(setup(t), 10)
+		f.reach = func(_ context.Context, network, _ string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("socket", errno)}
+		}
+		assert.Equal(t, decide.Moot, f.Send(t.Context(), attempt(member(b.addr()), "x")).Result, "%v", errno)
+		assert.Empty(t, f.slots, "a place is still taken")
+	}
+}
+
+// A request whose time was worded long before its first byte is worded anew.
+func TestTimeIsWordedAnew(t *testing.T) {
+	m := message{until: time.Now().Add(time.Second)}
+	assert.Equal(t, rules.Allowed, m.permit(time.Now()))
+	assert.Equal(t, rules.TimeTold, m.permit(time.Now().Add(-time.Second)))
+	m.begin = func() bool { return false }
+	assert.Equal(t, rules.RequestOver, m.permit(time.Now()))
+	assert.Equal(t, rules.RequestOver, (&message{begin: m.begin}).permit(time.Time{}))
+	assert.Equal(t, rules.Allowed, (&message{}).permit(time.Time{}), "a message that tells no time is not old")
+}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -26,7 +26,9 @@
 
 	"oakthread"
 	"oakthread/decide"
+	"oakthread/internal/netfault"
 	"oakthread/internal/wire"
+	"oakthread/rules"
 )
 
 const (
@@ -40,16 +42,25 @@
 	mostWaiting    = 8                      // requests that wait for a connection to an executor to settle
 	mostTransports = 16                     // Transports for one executor
 	lineKeptFor    = time.Minute            // an executor's Transports that nothing uses
+
+	budgetHeader = "X-Budget" // milliseconds that the client has left
 )
 
 var (
 	errNoSocket = errors.New("no socket left")
 	errUnasked  = errors.New("bytes came that belong to no answer")
-	errRevoked  = errors.New("the request must not be written any more")
+	errShortage = errors.New("this machine cannot make a connection now")
 	errTooLong  = errors.New("the answer is too long")
 	errNoLength = errors.New("the answer's length is not told, or told twice")
 )
 
+// notPermittedError says that a request must not be written, or not as it is worded, and why.
+type notPermittedError struct{ reason rules.Reason }
+
+func (e notPermittedError) Error() string {
+	return "the request must not be written: " + e.reason.String()
+}
+
 // dialError marks a connection that never came up: nothing ran.
 type dialError struct{ error }
 
@@ -70,8 +81,12 @@
 	room    atomic.Int64  // bytes that answers may yet take
 	mu      sync.Mutex
 	lines   map[decide.WorkerID]*line
-	open    sync.Mutex // guards conns; taken after mu, before a connection's own
-	conns   map[*conn]struct{}
+
+	shortages atomic.Int64 // connects that failed for want of this machine's
+	logLimit  netfault.LogLimit
+
+	open  sync.Mutex // guards conns; taken after mu, before a connection's own
+	conns map[*conn]struct{}
 }
 
 // line is the connections to one executor: lanes, in the order in which they are preferred. Guarded by the Fleet's mu.
@@ -204,7 +219,7 @@
 			return nil, errNoSocket
 		}
 	}
-	c, err := f.reach(ctx, network, addr)
+	c, err := f.connectTo(ctx, network, addr)
 	if f.Log != nil && f.Log.Enabled(ctx, slog.LevelDebug) {
 		f.Log.Debug("dialed", "addr", addr, "err", err)
 	}
@@ -219,6 +234,27 @@
 	return k, nil
 }
 
+// connectTo connects, again while only a shortage of this machine's keeps it from that: it tells nothing of the executor.
+func (f *Fleet) connectTo(ctx context.Context, network, addr string) (net.Conn, error) {
+	var backoff netfault.Backoff
+	for {
+		c, err := f.reach(ctx, network, addr)
+		if err == nil || !netfault.IsShortage(err) {
+			return c, err
+		}
+		f.shortages.Add(1)
+		if suppressed, ok := f.logLimit.Allow(time.Now()); ok && f.Log != nil {
+			f.Log.Warn("connect failed for want of this machine's", "addr", addr, "err", err, "suppressed", suppressed)
+		}
+		f.giveWay()
+		select {
+		case <-time.After(backoff.Next()):
+		case <-ctx.Done():
+			return nil, errors.Join(errShortage, err)
+		}
+	}
+}
+
 // giveWay closes the connection that has been idle for longest.
 func (f *Fleet) giveWay() {
 	var longest *conn
@@ -250,7 +286,7 @@
 	waiting bool      // a request was begun, and its answer has not ended
 	quiet   time.Time // when the last answer ended
 	tainted bool
-	permit  func() bool // asked before the next request's first byte; nil: no need
+	permit  func() rules.Reason // asked before the next request's first byte; nil: no need
 }
 
 func (c *conn) idle() time.Duration {
@@ -266,10 +302,16 @@
 func (c *conn) retire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tainted = c.tainted || !c.waiting
-	return !c.waiting
+	if !rules.MayCloseWorker(c.known()).OK() {
+		return false
+	}
+	c.tainted = true
+	return true
 }
 
+// known is what the rules on this connection ask; the caller holds mu.
+func (c *conn) known() rules.WorkerConn { return rules.WorkerConn{Awaits: c.waiting, Spent: c.tainted} }
+
 // spent tells that the connection must carry no further request.
 func (c *conn) spent() bool {
 	c.mu.Lock()
@@ -283,7 +325,7 @@
 	}
 	// Counted before it is done: a failure seen meanwhile must not pass for a proof that nothing left.
 	c.begun.Add(int64(len(b)))
-	n, err := c.Conn.Write(b)
+	n, err := netfault.Write(c.Conn, b)
 	c.begun.Add(int64(n - len(b)))
 	return n, err
 }
@@ -297,17 +339,16 @@
 		time.Sleep(rest)
 		c.mu.Lock()
 	}
-	if c.waiting { // the rest of a request; after an answer whose end is not seen here, another one
-		if c.tainted {
-			return errUnasked
-		}
-		return nil
-	}
-	if c.tainted {
+	switch rules.MayReuseWorker(c.known()) {
+	case rules.ConnectionSpent:
 		return errUnasked
+	case rules.AnswerAwaited: // the rest of a request; after an answer whose end is not seen here, another one
+		return nil
 	}
-	if c.permit != nil && !c.permit() {
-		return errRevoked
+	if c.permit != nil {
+		if reason := c.permit(); !reason.OK() {
+			return notPermittedError{reason}
+		}
 	}
 	c.waiting = true
 	return nil
@@ -320,7 +361,7 @@
 	if dead {
 		return 0, errUnasked
 	}
-	n, err := c.Conn.Read(b)
+	n, err := netfault.Read(c.Conn, b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 {
@@ -365,9 +406,34 @@
 	return io.NopCloser(struct{ io.Reader }{bytes.NewReader(b)})
 }
 
-// trip writes one request and reads its whole answer. unsent: nothing of the request was written. permit is asked right
-// before its first byte is, and a connection that comes up late stays for the next; nil: no need to ask.
-func (f *Fleet) trip(ctx context.Context, m oakthread.Member, permit func() bool, method, path string, h http.Header, body []byte) (resp *http.Response, got []byte, unsent bool, err error) {
+// message is one request to an executor.
+type message struct {
+	method, path string
+	header       http.Header
+	body         []byte
+	until        time.Time   // what is left up to then is told as X-Budget; zero: nothing is told
+	begin        func() bool // asked right before the first byte is written; nil: no need to ask
+}
+
+// tell words what is left in a head that is about to be written.
+func (g *message) tell(head http.Header) {
+	if !g.until.IsZero() {
+		head.Set(budgetHeader, strconv.FormatInt(max(1, time.Until(g.until).Milliseconds()), 10))
+	}
+}
+
+// permit is asked right before the first byte of a message worded at a time.
+func (g *message) permit(worded time.Time) rules.Reason {
+	w := rules.Write{Revoked: g.begin != nil && !g.begin()}
+	if !g.until.IsZero() {
+		w.Worded = time.Since(worded)
+	}
+	return rules.MayWrite(w)
+}
+
+// trip writes one request and reads its whole answer. unsent: nothing of the request was written. Whether it may be written
+// is asked right before its first byte is, and a connection that comes up late stays for the next.
+func (f *Fleet) trip(ctx context.Context, m oakthread.Member, g message) (resp *http.Response, got []byte, unsent bool, err error) {
 	for try := 0; ; try++ {
 		if ctx.Err() != nil {
 			return nil, nil, true, ctx.Err()
@@ -375,16 +441,23 @@
 		var c *conn
 		var before int64
 		reused := false
-		req := (&http.Request{Method: method, URL: &url.URL{Scheme: "http", Host: m.Addr, Opaque: path}, Host: m.Addr,
-			Header: h, Body: unrepeatable(method, body), ContentLength: int64(len(body))}).WithContext(
-			httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-				if c, _ = i.Conn.(*conn); c != nil {
-					before, reused = c.begun.Load(), i.Reused
-					c.mu.Lock()
-					c.permit = permit
-					c.mu.Unlock()
-				}
-			}}))
+		head := g.header.Clone()
+		req := &http.Request{Method: g.method, URL: &url.URL{Scheme: "http", Host: m.Addr, Opaque: g.path}, Host: m.Addr,
+			Header: head, Body: unrepeatable(g.method, g.body), ContentLength: int64(len(g.body))}
+		gotConn := func(i httptrace.GotConnInfo) {
+			if c, _ = i.Conn.(*conn); c == nil {
+				return
+			}
+			before, reused = c.begun.Load(), i.Reused
+			// What is left is told now that the connection is there, and not before: it may come up late. http.Transport
+			// writes the head after this call.
+			worded := time.Now()
+			g.tell(head)
+			c.mu.Lock()
+			c.permit = func() rules.Reason { return g.permit(worded) }
+			c.mu.Unlock()
+		}
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: gotConn}))
 		l, x := f.lane(ctx, m)
 		resp, err = x.RoundTrip(req)
 		if err == nil {
@@ -454,7 +527,7 @@
 func failure(ctx context.Context, unsent bool, err error) decide.Result {
 	var dial dialError
 	switch {
-	case errors.Is(err, errNoSocket):
+	case errors.Is(err, errNoSocket), errors.Is(err, errShortage):
 		return decide.Moot // our own want, no fault of the worker's
 	case ctx.Err() != nil && unsent:
 		return decide.Moot // our time ran out, or we called it off, before anything was written
@@ -479,9 +552,7 @@
 
 // Send is one attempt: at most one request written.
 func (f *Fleet) Send(ctx context.Context, a oakthread.Attempt) oakthread.Reply {
-	budget := max(1, time.Until(a.Until).Milliseconds())
-	h := http.Header{"X-Hop-Id": {a.Request.ID}, "X-Thing": {a.Request.Key},
-		"X-Budget": {strconv.FormatInt(budget, 10)}, "User-Agent": {""}}
+	h := http.Header{"X-Hop-Id": {a.Request.ID}, "X-Thing": {a.Request.Key}, "User-Agent": {""}}
 	if a.Request.IdempotencyKey != "" {
 		h.Set("X-Replay-Key", a.Request.IdempotencyKey)
 	}
@@ -489,7 +560,8 @@
 	if len(a.Request.Body) == 0 {
 		method = http.MethodGet
 	}
-	resp, body, unsent, err := f.trip(ctx, a.Worker, a.Begin, method, "/c/"+(*f.classes.Load())[a.Request.Class], h, a.Request.Body)
+	resp, body, unsent, err := f.trip(ctx, a.Worker, message{method: method, path: "/c/" + (*f.classes.Load())[a.Request.Class], header: h,
+		body: a.Request.Body, until: a.Until, begin: a.Begin})
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
@@ -570,7 +642,7 @@
 
 // Probe asks an executor for its load.
 func (f *Fleet) Probe(ctx context.Context, m oakthread.Member) oakthread.Reply {
-	resp, _, unsent, err := f.trip(ctx, m, nil, http.MethodGet, "/busy", http.Header{"User-Agent": {""}}, nil)
+	resp, _, unsent, err := f.trip(ctx, m, message{method: http.MethodGet, path: "/busy", header: noAgent()})
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
@@ -584,7 +656,7 @@
 // Load orders copies of a function. 500 is a failed load, 503 no room.
 func (f *Fleet) Load(ctx context.Context, o oakthread.Order) oakthread.Reply {
 	path := "/c/" + url.PathEscape(o.Key) + "/" + strconv.Itoa(o.Count)
-	resp, _, unsent, err := f.trip(ctx, o.Worker, o.Begin, http.MethodPut, path, http.Header{"User-Agent": {""}}, nil)
+	resp, _, unsent, err := f.trip(ctx, o.Worker, message{method: http.MethodPut, path: path, header: noAgent(), begin: o.Begin})
 	if err != nil {
 		return oakthread.Reply{Result: failure(ctx, unsent, err)}
 	}
@@ -593,5 +665,8 @@
 
 // Drop unloads the idle copies of a function; nothing is learned of it.
 func (f *Fleet) Drop(ctx context.Context, o oakthread.Order) {
-	_, _, _, _ = f.trip(ctx, o.Worker, nil, http.MethodDelete, "/c/"+url.PathEscape(o.Key), http.Header{"User-Agent": {""}}, nil)
+	_, _, _, _ = f.trip(ctx, o.Worker, message{method: http.MethodDelete, path: "/c/" + url.PathEscape(o.Key), header: noAgent()})
 }
+
+// noAgent is a head without net/http's own User-Agent.
+func noAgent() http.Header { return http.Header{"User-Agent": {""}} }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -53,7 +53,7 @@
 	noKeepAlives atomic.Bool // each connection ends with its answer
 	mux          *http.ServeMux
 	tally        sync.Map // class name → *Outcomes
-	held         atomic.Pointer[guard]
+	held         atomic.Pointer[connLimiter]
 
 	// Gate, where set before Serve, has the front say no to readiness while it returns false.
 	Gate func() bool
@@ -122,11 +122,11 @@
 func (f *Front) Bad() int64 { return f.bad.Load() }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g := gateOf(r.Context())
+	g := clientConnOf(r.Context())
 	if g != nil {
 		ctx, left := context.WithCancel(r.Context())
 		defer left()
-		g.guard.begin(g, left)
+		g.limiter.begin(g, left)
 		r = r.WithContext(ctx)
 	}
 	if g != nil && g.odd.Load() {
@@ -136,7 +136,7 @@
 	if r.ContentLength != 0 {
 		// Against bodies that never end, here and where the server reads what a handler left.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
-	} else if g != nil && !g.guard.take(g) {
+	} else if g != nil && !g.limiter.take(g) {
 		panic(http.ErrAbortHandler)
 	}
 	if len(r.TransferEncoding) > 0 { // its end is the server's word alone: nothing behind it is read
@@ -175,12 +175,12 @@
 		f.refuse(w, status, err)
 		return
 	}
-	if g := gateOf(r.Context()); g != nil && r.ContentLength != 0 {
+	if g := clientConnOf(r.Context()); g != nil && r.ContentLength != 0 {
 		if g.odd.Load() { // seen while the body came
 			f.refuse(w, http.StatusBadRequest, errLengths)
 			return
 		}
-		if !g.guard.take(g) {
+		if !g.limiter.take(g) {
 			panic(http.ErrAbortHandler) // it gave way before the call was whole
 		}
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -281,7 +281,7 @@
 // closeAfter says that the connection ends with this answer, where connections are to be quiet and no further request has begun
 // to come on it.
 func (f *Front) closeAfter(w http.ResponseWriter, r *http.Request) {
-	if g := gateOf(r.Context()); f.noKeepAlives.Load() && (g == nil || !g.guard.behind(g)) {
+	if g := clientConnOf(r.Context()); f.noKeepAlives.Load() && (g == nil || !g.limiter.behind(g)) {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -290,9 +290,11 @@
 // calls for linger, since clients learn late, answers all it has taken, and returns nil. longest is the least time
 // given to those.
 func (f *Front) Serve(ctx context.Context, ln net.Listener, conns int, linger, longest time.Duration, log *slog.Logger) error {
-	held := newGuard(ln, conns)
+	held := newConnLimiter(ln, conns, log)
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: idleClients, ConnState: held.state,
-		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, gateKey{}, c) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientConnKey{}, c)
+		},
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	f.held.Store(held)
 	failed := make(chan error, 1)
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,200 @@
+// Package rules holds the decisions on what may be done now: a request written to a worker, a connection closed, a call
+// repeated, an order to load given. Each rule stands here once, and all paths ask it: shutdown, reload, retry, hedge, cancel,
+// idle close, a full front. It has no clock, goroutine or I/O; the answer is a typed reason.
+//
+// docs/design/invariants.md lists the rules, the paths that must keep them, and the tests.
+package rules
+
+import "time"
+
+// Reason is why something may not be done now; Allowed: it may.
+type Reason int
+
+const (
+	Allowed         Reason = iota
+	CallInHand             // the connection carries a call whose answer is owed
+	RequestBegun           // bytes of a request have been read, and its answer is owed
+	BytesUnread            // bytes lie with the kernel that nobody has read
+	TooRecent              // a request may be on its way
+	CallerLeft             // the client has closed its connection or cancelled
+	RequestOver            // the request has its final answer, or the worker must get nothing new
+	TimeTold               // the time that the request tells the worker is over, or was told too long ago
+	MayHaveRun             // an attempt may have run, and the class must not run twice
+	AttemptOut             // an attempt is out, and the settings allow no second one beside it
+	NoAttemptsLeft         // the request has had all its attempts
+	OutOfTime              // the request must be answered now
+	RationSpent            // the ration of orders to load in this window is spent
+	AnswerAwaited          // the connection to a worker awaits an answer
+	ConnectionSpent        // the connection to a worker must carry nothing more
+)
+
+var reasons = [...]string{"allowed", "call in hand", "request begun", "bytes unread", "too recent", "caller left", "request over",
+	"time told is over", "may have run", "attempt out", "no attempts left", "out of time", "ration spent", "answer awaited",
+	"connection spent"}
+
+func (r Reason) String() string { return reasons[r] }
+
+// OK tells whether it may be done.
+func (r Reason) OK() bool { return r == Allowed }
+
+// CloseCause is what a client's connection would be closed for.
+type CloseCause int
+
+const (
+	CloseForAnother CloseCause = iota // all places are taken, and another client waits for one
+	CloseToQuiet                      // connections are to fall quiet: out of service, or at the end
+)
+
+const (
+	// idleLeast: a request may cross the close of an idle connection within 50 ms, and is then sent again once (protocol
+	// page). Twice that leaves room for a busy machine.
+	idleLeast = 100 * time.Millisecond
+	// newLeast: a new connection is opened for a request, which may still be on its way.
+	newLeast = 250 * time.Millisecond
+)
+
+// QuietLeast is how long a connection must have been quiet before it is closed for another; answered: it has carried a
+// request before.
+func QuietLeast(answered bool) time.Duration {
+	if answered {
+		return idleLeast
+	}
+	return newLeast
+}
+
+// ClientConn is what is known of a client's connection.
+type ClientConn struct {
+	InHand   bool          // a whole call is in hand
+	Begun    bool          // some of a request has been read, and its answer has not been written
+	Unread   bool          // bytes lie with the kernel
+	Answered bool          // it has carried a request before
+	Quiet    time.Duration // since something happened on it
+}
+
+// MayCloseClient tells whether a client's connection may be closed.
+func MayCloseClient(c ClientConn, why CloseCause) Reason {
+	switch {
+	case c.InHand:
+		return CallInHand
+	case c.Begun:
+		return RequestBegun
+	case c.Unread:
+		return BytesUnread
+	case why == CloseForAnother && c.Quiet < QuietLeast(c.Answered):
+		return TooRecent
+	}
+	return Allowed
+}
+
+// mostWorded is how long before its first byte a request may have been worded: the time that it tells the worker may be
+// too much by 0.15 s at most (operators' terms), of which a part is kept for the way.
+const mostWorded = 100 * time.Millisecond
+
+// Write is a request about to be written to a worker.
+type Write struct {
+	CallerLeft bool
+	Revoked    bool          // the request is over, or its worker drains, has gone or starts anew
+	Worded     time.Duration // since the time that it tells was worded; 0: it tells none
+}
+
+// MayWrite tells whether the first byte of a request to a worker may be written.
+func MayWrite(w Write) Reason {
+	switch {
+	case w.CallerLeft:
+		return CallerLeft
+	case w.Revoked:
+		return RequestOver
+	case w.Worded > mostWorded:
+		return TimeTold
+	}
+	return Allowed
+}
+
+// WorkerConn is what is known of a connection to a worker.
+type WorkerConn struct {
+	Awaits bool // a request was begun on it, and its answer has not ended
+	Spent  bool // it brought bytes that belong to no answer, or is about to be closed
+}
+
+// MayCloseWorker tells whether a kept connection to a worker may be closed for another's sake.
+func MayCloseWorker(c WorkerConn) Reason {
+	if c.Awaits {
+		return AnswerAwaited
+	}
+	return Allowed
+}
+
+// MayReuseWorker tells whether a kept connection to a worker may carry a further request.
+func MayReuseWorker(c WorkerConn) Reason {
+	switch {
+	case c.Spent:
+		return ConnectionSpent
+	case c.Awaits:
+		return AnswerAwaited
+	}
+	return Allowed
+}
+
+// Earlier is an attempt that a call has had, as far as it bears on a further one.
+type Earlier struct {
+	Out    bool // it has not ended
+	Ran    bool // it may have run: nothing proves that it did not
+	Barred bool // then the call must not run again: by its class, or outside the window and group within which workers drop repeats
+}
+
+// Repeat is a further attempt of a call.
+type Repeat struct {
+	Over         bool // the call has its answer, or its answer has begun
+	LateForIt    bool // the call must be answered now
+	Attempts     int  // so far
+	MostAttempts int
+	SecondCopies bool // a second attempt may be out beside the first
+}
+
+// MayRepeat tells whether a further attempt may begin, as far as the call itself goes. Its earlier attempts are asked each
+// by MayRepeatBeside.
+func MayRepeat(r Repeat) Reason {
+	switch {
+	case r.Over:
+		return RequestOver
+	case r.Attempts >= r.MostAttempts:
+		return NoAttemptsLeft
+	case r.LateForIt:
+		return OutOfTime
+	}
+	return Allowed
+}
+
+// MayRepeatBeside tells whether an earlier attempt allows a further one.
+func MayRepeatBeside(e Earlier, secondCopies bool) Reason {
+	switch {
+	case e.Out && !secondCopies:
+		return AttemptOut
+	case e.Ran && e.Barred:
+		return MayHaveRun
+	}
+	return Allowed
+}
+
+// MayRefuse tells whether a call may be answered with a refusal, which promises that it had no effect, as far as an earlier
+// attempt goes.
+func MayRefuse(e Earlier) Reason {
+	if e.Ran && e.Barred {
+		return MayHaveRun
+	}
+	return Allowed
+}
+
+// Ration is what orders to load may be given for: so many freely, and a share of the requests taken in the same window.
+type Ration struct {
+	Free, Share float64
+}
+
+// MayOrder tells whether one more order to load may be written in a window in which so many requests were taken and so many
+// orders written.
+func MayOrder(r Ration, taken, ordered int) Reason {
+	if float64(ordered+1) > r.Free+r.Share*float64(taken) {
+		return RationSpent
+	}
+	return Allowed
+}
--- a/webhook/front.go
+++ b/webhook/front.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"oakthread"
+	"oakthread/internal/netfault"
 	"oakthread/spiffe"
 )
 
@@ -114,7 +115,7 @@
 func (f *Front) Serve(ctx context.Context, ln net.Listener, reload <-chan time.Time) error {
 	srv := &http.Server{Handler: f.Receiver, ReadHeaderTimeout: headerTime, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn)}
-	ln = netutil.LimitListener(ln, MaxConns)
+	ln = netutil.LimitListener(netfault.NewListener(ln, f.log), MaxConns)
 	beside, done := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	every, prune, minute := time.NewTicker(reloadEvery), time.NewTicker(pruneEvery), time.NewTicker(countEvery)
