--- a/decide/coldstart.go
+++ b/decide/coldstart.go
@@ -1,11 +1,12 @@
 package decide
 
 // This file owns the budget of a worker that has just started. All dispatchers together may send a started
-// worker the stated multiple of what it can do. Each draws for itself, slot by slot, a whole number of calls whose mean is its part of that:
-// what warm workers answer us, each on average, is our part of what one can do, whatever part of the traffic
-// is ours. Where we know nothing, all together draw one call. One of many seldom draws and seldom wants to
-// send there: what is left over is kept for some slots. All parts, with those kept, add up to less than the
-// multiple. Where the hub tells of little in flight there, by the middle worker, each has one more in a slot.
+// worker the stated multiple of what it can do. Each draws for itself, slot by slot, a whole number of calls
+// whose mean is its part of that: what warm workers answer us, each on average, is our part of what one can do,
+// whatever part of the traffic is ours. Where we know nothing, all together draw one call. One of many seldom
+// draws and seldom wants to send there: what is left over is kept for some slots. All parts, with those kept,
+// add up to less than the multiple. Where the hub tells of little in flight there, by the middle worker, each
+// has one more in a slot.
 
 import (
 	"cmp"
