Spans are taken from the process's own clock, which steps of the wall do not reach

Cause: the core's clock was the wall clock held from going back, and the times that it handed out had lost their monotonic part: after a step back it stood still while timers ran, after a step forward deadlines passed at once.

Change: package steady gives core, front and the kept list one clock, the wall as it was at the start moved on by the monotonic clock. A start that the platform tells as a wall time becomes one of that clock when it is first told, the later of both readings where the wall was stepped. A step is logged. The kept list's writer tries a failed write again by itself; it waited for the next news.

--- a/clock_test.go
+++ b/clock_test.go
@@ -53,10 +53,10 @@
 		t.Run(by.String(), func(t *testing.T) {
 			t.Cleanup(func() { require.NoError(t, wallclock.Set(0)) })
 			classes := []decide.Class{{Aim: int64(400 * time.Millisecond), GiveUp: int64(patience), Worth: 1, Effect: decide.Unsafe}}
-			served, err := New(Config{Workers: slowWorkers{takes: takes}, Settings: decide.Settings{Classes: classes, MaxAttempts: 3}})
+			served, err := New(Config{Workers: slowWorkers{takes: takes}, Settings: decide.Settings{Classes: classes, MaxAttempts: 3, Quantum: int64(4 * time.Millisecond)}})
 			require.NoError(t, err)
 			defer served.Close()
-			silent, err := New(Config{Workers: slowWorkers{silent: true}, Settings: decide.Settings{Classes: classes, MaxAttempts: 3}})
+			silent, err := New(Config{Workers: slowWorkers{silent: true}, Settings: decide.Settings{Classes: classes, MaxAttempts: 3, Quantum: int64(4 * time.Millisecond)}})
 			require.NoError(t, err)
 			defer silent.Close()
 			for _, c := range []*Core{served, silent} {
--- a/core.go
+++ b/core.go
@@ -16,6 +16,7 @@
 
 	"oakthread/commons"
 	"oakthread/decide"
+	"oakthread/internal/steady"
 )
 
 // Config is what a Core is made of. Workers is needed; the rest has a zero value that works.
@@ -71,13 +72,20 @@
 	open    map[string]*call
 	flights map[flightKey]*flight
 	orders  int // given so far
-	members map[decide.WorkerID]Member
+	members map[decide.WorkerID]member
 	called  map[decide.FuncID]calledKey
 	ration  ration
 	swept   time.Time
 	n       Counters
 }
 
+// member is a worker on the list, and when it started by the module's clock, as worked out when that was first told: told
+// again, it is the same start, wherever the wall clock has gone meanwhile.
+type member struct {
+	Member
+	started int64
+}
+
 type call struct {
 	req    Request
 	ctx    context.Context // its end says that the caller has left
@@ -145,7 +153,7 @@
 	}
 	c := &Core{cfg: cfg, events: make(chan func(), eventsWait), closing: make(chan struct{}),
 		stopped: make(chan struct{}), open: map[string]*call{}, flights: map[flightKey]*flight{},
-		members: map[decide.WorkerID]Member{}, called: map[decide.FuncID]calledKey{}}
+		members: map[decide.WorkerID]member{}, called: map[decide.FuncID]calledKey{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.ration = ration{window: time.Duration(cfg.Settings.LoadWindow), free: cfg.Settings.LoadFree,
 		share: cfg.Settings.LoadShare}
@@ -191,9 +199,9 @@
 	}
 }
 
-// now is the clock as the module reads it: the Unix clock, but never going back.
+// now is the clock as the module reads it: the process's own, which steps of the wall clock do not reach.
 func (c *Core) now() int64 {
-	c.last = max(c.last, nanos(time.Now()))
+	c.last = max(c.last, steady.Now().UnixNano())
 	return c.last
 }
 
@@ -290,6 +298,7 @@
 	if q.ID == "" || q.Class < 0 || int64(q.Class) >= c.classes.Load() || q.Deadline.IsZero() {
 		return Answer{}, ErrInvalid
 	}
+	q.Deadline = time.Now().Add(time.Until(q.Deadline)) // by the monotonic clock from here on
 	k := &call{req: q, ctx: ctx, answer: make(chan result, 1)}
 	if !c.post(func() { c.admit(k) }) {
 		return Answer{}, ErrClosed
@@ -351,7 +360,7 @@
 func (c *Core) route(k *call) {
 	q := &k.req
 	c.d.Request(c.now(), decide.Request{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Func: q.Func,
-		Deadline: nanos(q.Deadline), MemoryMB: q.MemoryMB, Lanes: q.Lanes, LoadTime: int64(q.LoadTime),
+		Deadline: steady.Nanos(q.Deadline), MemoryMB: q.MemoryMB, Lanes: q.Lanes, LoadTime: int64(q.LoadTime),
 		Repeat: q.Repeat})
 }
 
@@ -481,6 +490,10 @@
 	for _, m := range r.Members {
 		named[m.ID] = true
 		old, known := c.members[m.ID]
+		start := old.started
+		if !known || !old.Start.Equal(m.Start) {
+			start = steady.Started(m.Start)
+		}
 		if known && (m.State == decide.Off || !old.Start.Equal(m.Start) || old.Addr != m.Addr) {
 			c.cfg.Workers.Forget(m.ID)
 			c.revoke(m.ID)
@@ -491,10 +504,10 @@
 		if m.State == decide.Off {
 			delete(c.members, m.ID)
 		} else {
-			c.members[m.ID] = m
+			c.members[m.ID] = member{m, start}
 		}
 		es = append(es, decide.Entry{Worker: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
-			Weight: m.Weight, Start: nanos(m.Start)})
+			Weight: m.Weight, Start: start})
 	}
 	if r.Kind == decide.RosterFull || r.Kind == decide.RosterCached {
 		for id := range c.members {
@@ -585,10 +598,10 @@
 		return
 	}
 	end := k.req.Deadline
-	if until > 0 && moment(until).Before(end) {
-		end = moment(until)
+	if until > 0 && steady.Time(until).Before(end) {
+		end = steady.Time(until)
 	}
-	c.send(k, m, end)
+	c.send(k, m.Member, end)
 }
 
 func (h *host) Cancel(id string, attempt int) {
@@ -634,7 +647,7 @@
 	c.flights[key] = way
 	go func() {
 		ctx, done := context.WithTimeout(ctx, limit)
-		r := c.cfg.Workers.Load(ctx, Order{Worker: m, Func: f, Key: name.key, Count: n, Begin: way.begin})
+		r := c.cfg.Workers.Load(ctx, Order{Worker: m.Member, Func: f, Key: name.key, Count: n, Begin: way.begin})
 		done()
 		off(nil)
 		c.post(func() {
@@ -656,7 +669,7 @@
 		go func() {
 			ctx, done := context.WithTimeout(c.ctx, probeTime*2)
 			defer done()
-			c.cfg.Workers.Drop(ctx, Order{Worker: m, Func: f, Key: name.key})
+			c.cfg.Workers.Drop(ctx, Order{Worker: m.Member, Func: f, Key: name.key})
 		}()
 	}
 }
@@ -672,7 +685,7 @@
 	go func() {
 		ctx, done := context.WithTimeout(c.ctx, probeTime)
 		defer done()
-		r := c.cfg.Workers.Probe(ctx, m)
+		r := c.cfg.Workers.Probe(ctx, m.Member)
 		c.post(func() { c.d.Probed(c.now(), w, r.Result, int64(time.Since(sent)), r.Report) })
 	}()
 }
@@ -692,13 +705,3 @@
 func (h *host) Watch() {}
 
 func (h *host) Log(text string) { h.cfg.Log.Info(text) }
-
-// The module's edge: its times are nanoseconds of the Unix clock, and zero is long ago.
-func nanos(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
-
-func moment(n int64) time.Time { return time.Unix(0, n) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"oakthread/internal/kept"
 	"oakthread/internal/opfile"
 	"oakthread/internal/platform"
+	"oakthread/internal/steady"
 	"oakthread/roster"
 	"oakthread/service"
 	"oakthread/webhook"
@@ -35,6 +36,7 @@
 	countEvery  = 10 * time.Second
 	lookEvery   = time.Second
 	still       = 300 * time.Millisecond // a delay that calls feel
+	stepTold    = 100 * time.Millisecond // a step of the wall clock that is told of
 )
 
 // Options are what a daemon is started with.
@@ -204,7 +206,7 @@
 	for _, c := range set.Classes {
 		ko.Aims = append(ko.Aims, time.Duration(c.Aim))
 	}
-	now := time.Now()
+	now := steady.Now()
 	k := kept.NewKeeper(ko, fleet, tell, now, log)
 	var known []oakthread.Roster
 	for _, ev := range cfg.Known {
@@ -378,6 +380,7 @@
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
 	var told oakthread.Counters
+	stepped := steady.Step()
 	seen, next := time.Now(), time.Now().Add(countEvery)
 	for {
 		select {
@@ -387,6 +390,10 @@
 		}
 		woke := time.Now()
 		n := core.Counters()
+		if at := steady.Step(); at-stepped > stepTold || stepped-at > stepTold {
+			log.Warn("the wall clock was stepped", "by", at-stepped, "since_start", at)
+			stepped = at
+		}
 		if process, loop := woke.Sub(seen)-lookEvery, time.Since(woke); process > still || loop > still {
 			log.Warn("stood still", "process", process, "loop", loop)
 		}
--- a/internal/kept/keeper.go
+++ b/internal/kept/keeper.go
@@ -9,10 +9,13 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oakthread"
 	"oakthread/decide"
+	"oakthread/internal/netfault"
+	"oakthread/internal/steady"
 	"oakthread/roster"
 )
 
@@ -54,6 +57,8 @@
 	save   chan saving
 	store  *Store
 	begun  time.Time
+
+	failedWrites atomic.Int64
 }
 
 type saving struct {
@@ -107,13 +112,13 @@
 func (k *Keeper) Rows() []roster.Row {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.list.Rows(time.Now())
+	return k.list.Rows(steady.Now())
 }
 
 // event runs f on the list and has the loop carry out what comes of it. It returns at once.
 func (k *Keeper) event(f func(now time.Time, l *roster.List)) {
 	k.mu.Lock()
-	f(time.Now(), k.list)
+	f(steady.Now(), k.list)
 	k.gather()
 	k.mu.Unlock()
 }
@@ -146,7 +151,7 @@
 func (k *Keeper) Admit(*oakthread.Request) (time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	wait, ok := k.list.Admit(time.Now())
+	wait, ok := k.list.Admit(steady.Now())
 	k.gather()
 	return wait, ok
 }
@@ -204,7 +209,7 @@
 	defer t.Stop()
 	for {
 		k.mu.Lock()
-		now := time.Now()
+		now := steady.Now()
 		if at := k.list.Next(); !at.IsZero() && !at.After(now) {
 			k.list.Tick(now)
 			k.gather()
@@ -237,7 +242,7 @@
 		select {
 		case <-ctx.Done():
 			k.mu.Lock()
-			k.hand(saving{k.list.Keep(time.Now()), true, time.Now()})
+			k.hand(saving{k.list.Keep(steady.Now()), true, steady.Now()})
 			k.mu.Unlock()
 			close(k.save)
 			<-written
@@ -276,48 +281,96 @@
 	k.event(func(now time.Time, l *roster.List) { l.Probed(now, b.ID, s) })
 }
 
-// write is the writer's goroutine: it coalesces what comes and outlives a disk that is full, gone or damaged.
+// write is the writer's goroutine: it coalesces what comes and outlives a disk that is full, gone or damaged. A list that
+// could not be written is tried again until it or a newer one is on disk.
 func (k *Keeper) write() {
-	var failing bool
-	var again time.Time
-	for s := range k.save {
-		wait := calmTime
-		if s.urgent {
-			wait = urgentTime
+	w := writer{k: k}
+	retry := time.NewTimer(time.Hour)
+	defer retry.Stop()
+	for {
+		retry.Stop()
+		if w.owed {
+			retry.Reset(w.backoff.Next())
 		}
-		s = k.collect(s, s.at.Add(wait))
-		if k.store == nil && k.o.Path != "" && !time.Now().Before(again) {
-			again = time.Now().Add(openAgain)
-			st, _, err := Open(k.o.Path, k.o.Owner)
-			if k.store = st; err == nil && failing {
-				k.log.Info("list file open again", "path", k.o.Path)
-				failing = false
+		select {
+		case s, open := <-k.save:
+			if !open {
+				w.end()
+				return
 			}
+			wait := calmTime
+			if s.urgent {
+				wait = urgentTime
+			}
+			w.latest = k.collect(s, s.at.Add(wait))
+		case <-retry.C:
 		}
-		if k.store == nil {
-			continue
-		}
-		err := k.store.Write(s.kept)
-		switch {
-		case err != nil && !failing:
-			failing = true
-			k.log.Error("kept list not written, the file stays as it was", "err", err)
-		case err == nil && failing:
-			failing = false
-			k.log.Info("kept list written again", "path", k.o.Path)
-		}
+		w.write()
+	}
+}
+
+// writer is what the writer's goroutine holds.
+type writer struct {
+	k       *Keeper
+	latest  saving
+	owed    bool // latest is not on disk
+	backoff netfault.Backoff
+	again   time.Time // the file is not opened before
+}
+
+// write brings the latest list to disk, opening the file where that is due.
+func (w *writer) write() {
+	k := w.k
+	if k.o.Path == "" {
+		return
+	}
+	if k.store == nil && !steady.Now().Before(w.again) {
+		w.again = steady.Now().Add(openAgain)
+		k.store, _, _ = Open(k.o.Path, k.o.Owner)
+	}
+	if k.store == nil {
+		w.owed = true
+		return
+	}
+	if err := k.store.Write(w.latest.kept); err != nil {
+		w.failed(err)
 		if errors.Is(err, ErrDamaged) {
 			_ = k.store.Close()
-			k.store, again = nil, time.Time{}
+			k.store, w.again = nil, time.Time{}
 		}
+		return
 	}
-	if k.store != nil {
-		if err := k.store.Close(); err != nil {
-			k.log.Error("list file not closed", "err", err)
-		}
+	if w.owed {
+		k.log.Info("kept list written again", "path", k.o.Path)
+	}
+	w.owed = false
+	w.backoff.Reset()
+}
+
+func (w *writer) failed(err error) {
+	w.k.failedWrites.Add(1)
+	if !w.owed {
+		w.k.log.Error("kept list not written, the file stays as it was; trying again", "err", err)
 	}
+	w.owed = true
 }
 
+// end tries a last time and closes the file.
+func (w *writer) end() {
+	if w.owed {
+		w.write()
+	}
+	if w.k.store == nil {
+		return
+	}
+	if err := w.k.store.Close(); err != nil {
+		w.k.log.Error("list file not closed", "err", err)
+	}
+}
+
+// FailedWrites counts the writes of the list that failed; each is tried again.
+func (k *Keeper) FailedWrites() int64 { return k.failedWrites.Load() }
+
 // collect waits until due for newer lists; an urgent one brings the end nearer.
 func (k *Keeper) collect(s saving, due time.Time) saving {
 	t := time.NewTimer(time.Until(due))
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -20,6 +20,7 @@
 	"oakthread"
 	"oakthread/decide"
 	"oakthread/internal/reply"
+	"oakthread/internal/steady"
 	"oakthread/internal/wire"
 )
 
@@ -48,7 +49,7 @@
 	tells        bool
 	open         atomic.Int64 // calls in the handler
 	bad          atomic.Int64 // calls that could not be read
-	latest       atomic.Int64 // Unix milliseconds of the latest deadline taken
+	latest       atomic.Int64 // nanoseconds of the process's clock: the latest deadline taken
 	draining     atomic.Bool
 	noKeepAlives atomic.Bool // each connection ends with its answer
 	mux          *http.ServeMux
@@ -185,7 +186,7 @@
 		}
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	for end, old := q.Deadline.UnixMilli(), f.latest.Load(); end > old && !f.latest.CompareAndSwap(old, end); {
+	for end, old := steady.Nanos(q.Deadline), f.latest.Load(); end > old && !f.latest.CompareAndSwap(old, end); {
 		old = f.latest.Load()
 	}
 	a, err := f.core.Do(r.Context(), q)
@@ -313,7 +314,7 @@
 	}
 	log.Info("ending: no new calls", "open", f.open.Load())
 	last := time.Now().Add(longest)
-	if taken := time.UnixMilli(f.latest.Load()).Add(linger); taken.After(last) {
+	if taken := steady.Time(f.latest.Load()).Add(linger); taken.After(last) {
 		last = taken
 	}
 	end, done := context.WithDeadline(context.Background(), last)
