Only calls of functions that a worker has served earn orders to load

Change: the module counts a call once a worker has served its function, at the time when the call came, and tells the host; the core's second look takes its number from there. That look is taken again when an order's first byte leaves, for a connection may come up late; an order of which nothing was written is given back. Both lists are trimmed as they grow: the module's was only when an order was asked for.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -57,6 +57,10 @@
 	}
 	h.out.Str("data", data).End()
 }
+
+// Counted has nothing to do: the simulator counts for itself.
+func (h *instance) Counted(int64) {}
+
 func (h *instance) Timer(delay, ref int64) {
 	h.out.Open("sleep", h.who).Int("offset_ns", delay).Int("ref", ref).End()
 }
--- a/core.go
+++ b/core.go
@@ -17,6 +17,7 @@
 	"oakthread/commons"
 	"oakthread/decide"
 	"oakthread/internal/steady"
+	"oakthread/rules"
 )
 
 // Config is what a Core is made of. Workers is needed; the rest has a zero value that works.
@@ -155,8 +156,8 @@
 		stopped: make(chan struct{}), open: map[string]*call{}, flights: map[flightKey]*flight{},
 		members: map[decide.WorkerID]member{}, called: map[decide.FuncID]calledKey{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.ration = ration{window: time.Duration(cfg.Settings.LoadWindow), free: cfg.Settings.LoadFree,
-		share: cfg.Settings.LoadShare}
+	c.ration.window = time.Duration(cfg.Settings.LoadWindow)
+	c.ration.rule = rules.Ration{Free: cfg.Settings.LoadFree, Share: cfg.Settings.LoadShare}
 	d, err := decide.New(c.now(), cfg.Settings, cfg.Seed, (*host)(c))
 	if err != nil {
 		return nil, fmt.Errorf("oakthread: %w", err)
@@ -343,7 +344,6 @@
 		return
 	}
 	c.open[k.req.ID] = k
-	c.ration.took(now)
 	if c.cfg.Admit != nil {
 		if wait, ok := c.cfg.Admit(&k.req); !ok {
 			c.n.HeldOff++
@@ -544,41 +544,6 @@
 	}
 }
 
-// ration is the second look at the rule on orders to load, at the time when the order leaves: the module's own
-// count is of the time when it decides. Both sides carry a margin for the way to the worker.
-type ration struct {
-	window      time.Duration
-	free, share float64
-	taken       []time.Time
-	ordered     []time.Time
-}
-
-func (r *ration) took(now time.Time) {
-	if r.window > 0 {
-		r.taken = append(trim(r.taken, now.Add(-r.window)), now)
-	}
-}
-
-func (r *ration) allow(now time.Time) bool {
-	if r.window <= 0 {
-		return true
-	}
-	r.taken = trim(r.taken, now.Add(rationMargin-r.window))
-	r.ordered = trim(r.ordered, now.Add(-rationMargin-r.window))
-	if float64(len(r.ordered)+1) > r.free+r.share*float64(len(r.taken)) {
-		return false
-	}
-	r.ordered = append(r.ordered, now)
-	return true
-}
-
-func trim(ts []time.Time, from time.Time) []time.Time {
-	for len(ts) > 0 && ts[0].Before(from) {
-		ts = ts[1:]
-	}
-	return ts
-}
-
 // host carries out the module's actions. Its methods run in the loop, within an event.
 type host Core
 
@@ -630,7 +595,13 @@
 	c := (*Core)(h)
 	m, known := c.members[w]
 	name, asked := c.called[f]
-	if !known || !asked || n > 0 && (m.State != decide.On || !c.ration.allow(time.Now())) {
+	var reserved *loadOrder // nil: the order asks only
+	may := known && asked
+	if may = may && (n == 0 || m.State == decide.On); may && n > 0 {
+		reserved = c.ration.reserve(time.Now())
+		may = reserved != nil
+	}
+	if !may {
 		c.n.OrdersHeld++
 		c.later = append(c.later, func() { c.d.Loaded(c.now(), w, f, 0, decide.Full) })
 		return
@@ -647,7 +618,12 @@
 	c.flights[key] = way
 	go func() {
 		ctx, done := context.WithTimeout(ctx, limit)
-		r := c.cfg.Workers.Load(ctx, Order{Worker: m.Member, Func: f, Key: name.key, Count: n, Begin: way.begin})
+		r := c.cfg.Workers.Load(ctx, Order{Worker: m.Member, Func: f, Key: name.key, Count: n, Begin: func() bool {
+			return c.ration.write(reserved, time.Now()) && way.begin()
+		}})
+		if r.Result == decide.Moot || r.Result == decide.ConnectFailed { // nothing of it was written
+			c.ration.release(reserved)
+		}
 		done()
 		off(nil)
 		c.post(func() {
@@ -701,6 +677,9 @@
 	time.AfterFunc(time.Duration(delay), func() { c.post(func() { c.d.Timer(c.now(), ref) }) })
 }
 
+// Counted has a call count for the ration as the module counts it.
+func (h *host) Counted(at int64) { h.ration.count(steady.Time(at)) }
+
 // Watch has nothing to do: a Membership tells from its start on.
 func (h *host) Watch() {}
 
--- a/core_test.go
+++ b/core_test.go
@@ -11,6 +11,7 @@
 
 	"oakthread/commons"
 	"oakthread/decide"
+	"oakthread/rules"
 )
 
 // stand is a fleet in memory: each attempt waits for a reply on replies, or for its end.
@@ -175,7 +176,7 @@
 
 // Guards the rule on loads at the time when the order leaves, and that none names a function nobody called.
 func TestOrdersAreRationed(t *testing.T) {
-	r := ration{window: 5 * time.Second, free: 2, share: 0.5}
+	r := ration{window: 5 * time.Second, rule: rules.Ration{Free: 2, Share: 0.5}}
 	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
 	var got []bool
 	for _, x := range []struct {
@@ -183,12 +184,31 @@
 		taken int
 	}{{0, 0}, {1, 0}, {2, 0}, {3, 2}, {4, 0}, {5100, 0}, {5400, 0}} {
 		for range x.taken {
-			r.took(at(x.ms))
+			r.count(at(x.ms))
 		}
-		got = append(got, r.allow(at(x.ms)))
+		got = append(got, r.reserve(at(x.ms)) != nil)
 	}
 	assert.Equal(t, []bool{true, true, false, true, false, false, true}, got)
 
+	// An order whose connection comes up late is asked again when its first byte leaves: calls that earned it have left
+	// the window by then. One of which nothing was written makes room for another.
+	r = ration{window: 5 * time.Second, rule: rules.Ration{Free: 1, Share: 0.5}}
+	r.count(at(2))
+	r.count(at(0)) // told late, since its function was not known before
+	assert.Equal(t, []time.Time{at(0), at(2)}, r.taken)
+	first, late := r.reserve(at(4000)), r.reserve(at(4000))
+	require.NotNil(t, first)
+	require.NotNil(t, late)
+	assert.True(t, r.write(first, at(4100)))
+	assert.False(t, r.write(late, at(5000)))
+	r.release(late)
+	assert.Nil(t, r.reserve(at(5000)))
+	r.release(first)
+	assert.NotNil(t, r.reserve(at(5000)))
+	assert.True(t, r.write(nil, at(5000)), "an order that only asks is not rationed")
+	r.count(at(60_000))
+	assert.Len(t, r.taken, 1, "what is over is kept")
+
 	s := newStand()
 	core := testCore(t, s, nil)
 	core.post(func() { (*host)(core).Load(1, 99, 1); (*host)(core).Drop(1, 99) })
--- a/decide/api.go
+++ b/decide/api.go
@@ -158,6 +158,9 @@
 	Probe(w WorkerID)
 	Tell(to int, data string) // to one other dispatcher by its number, to all if below 0; 256 bytes at most
 	Timer(delay int64, ref int64)
+	// Counted tells that a call, which came at a time, counts as taken for the ration of orders. The platform counts no calls
+	// of functions that do not exist, so one counts once a worker has served its function.
+	Counted(at int64)
 	Watch() // subscribe to the roster
 	Log(text string)
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -54,6 +54,7 @@
 	f.timers = append(f.timers, delay)
 	f.ref = ref
 }
+func (f *fake) Counted(int64)   {}
 func (f *fake) Watch()          { f.watches++ }
 func (f *fake) Log(text string) {}
 
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -20,6 +20,7 @@
 func (p *printer) Drop(decide.WorkerID, decide.FuncID)      {}
 func (p *printer) Probe(decide.WorkerID)                    {}
 func (p *printer) Tell(int, string)                         {}
+func (p *printer) Counted(at int64)                         {}
 func (p *printer) Timer(delay, ref int64)                   {}
 func (p *printer) Watch()                                   {}
 func (p *printer) Log(string)                               {}
--- a/decide/health.go
+++ b/decide/health.go
@@ -25,6 +25,10 @@
 		d.answered(now, w)
 		d.missed(0)
 		w.heard, h.fn.served = true, true
+		if !a.req.counted {
+			a.req.counted = true
+			d.count(a.req.arrived)
+		}
 		if !d.isCold(now, w) {
 			d.answers, d.answersAt = d.answers*d.fade(now)+1, now
 		}
--- a/decide/loadorders.go
+++ b/decide/loadorders.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 
 	"oakthread/rules"
 )
@@ -38,6 +39,17 @@
 	return max(float64(f.load), d.loads.mean) * d.stress
 }
 
+// count takes a call that came at a time as taken, for the ration.
+func (d *Dispatcher) count(at int64) {
+	if d.set.LoadWindow <= 0 {
+		return
+	}
+	d.arrived = since(d.arrived, at-2*d.set.LoadWindow)
+	place, _ := slices.BinarySearch(d.arrived, at)
+	d.arrived = slices.Insert(d.arrived, place, at)
+	d.host.Counted(at)
+}
+
 // order is the one gate of every LOAD: eligibility and the ration (rules 3 and 5).
 func (d *Dispatcher) order(now int64, h *holder, n int) bool {
 	if !d.set.Orders || !d.eligible(now, h.w) {
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -21,15 +21,18 @@
 	d.pool.earn(tellShare)
 	d.calls++
 	d.hedges = min(d.hedges+hedgeShare+d.lost, 1/hedgeShare)
-	if d.set.LoadWindow > 0 {
-		d.arrived = append(d.arrived, now)
-	}
 	if d.refuse(now, q) {
+		if f := d.funcs[funcTag(q.Func)]; f != nil && f.served {
+			d.count(now)
+		}
 		d.host.Refuse(q.ID, d.set.MaxRetryAfter)
 		return
 	}
 	r := &request{Request: q, class: &d.set.Classes[q.Class], arrived: now, fn: d.function(now, q)}
 	r.tries, d.reqs[q.ID] = r.first[:0], r
+	if r.counted = r.fn.served; r.counted {
+		d.count(now)
+	}
 	d.push(r.end(d), r)
 	d.dispatch(now, r)
 	f := r.fn
@@ -202,6 +205,7 @@
 	stream  bool
 	done    bool
 	began   bool // it had a load ordered
+	counted bool // it counts as taken for the ration of orders
 }
 
 // attempt is one send. ran: it may have run (true until an outcome proves otherwise).
--- a/decide/scale_test.go
+++ b/decide/scale_test.go
@@ -165,6 +165,7 @@
 	x.at(max(c.from, x.now+scaleStep), scaleEvent{worker: w, fn: f})
 }
 
+func (x *scaleHost) Counted(int64)          {}
 func (x *scaleHost) Timer(delay, ref int64) { x.due, x.ref = x.now+delay, ref }
 func (x *scaleHost) Refuse(string, int64)   { x.refuse++ }
 func (x *scaleHost) Fail(string)            { x.refuse++ }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -508,6 +508,7 @@
 func (h *asked) Load(w decide.WorkerID, f decide.FuncID, n int) {
 	h.after(100e6, func() { h.d.Loaded(h.now, w, f, n, decide.OK) })
 }
+func (h *asked) Counted(int64)                     {}
 func (h *asked) Timer(delay, ref int64)            { h.after(delay, func() { h.d.Timer(h.now, ref) }) }
 func (h *asked) Tell(to int, text string)          { h.tell(to, text) }
 func (*asked) Cancel(string, int)                  {}
--- a/internal/lab/vtime.go
+++ b/internal/lab/vtime.go
@@ -747,6 +747,8 @@
 	})
 }
 
+func (s *simNode) Counted(int64) {}
+
 func (s *simNode) Timer(delay, ref int64) {
 	s.meter.pause()
 	defer s.meter.resume()
