--- a/cmd/oaklab/main.go
+++ b/cmd/oaklab/main.go
@@ -18,6 +18,7 @@
 
 	"oakthread/internal/cli"
 	"oakthread/internal/daemon"
+	"oakthread/internal/fault"
 	"oakthread/internal/lab"
 	"oakthread/internal/ledger"
 	"oakthread/internal/opfile"
@@ -48,6 +49,7 @@
 	for _, e := range lab.Experiments() {
 		run.AddCommand(experiment(e))
 	}
+	run.AddCommand(soakCommand())
 	demo := &cobra.Command{Use: "demo", Short: "Start discovery, a dozen boxes and a dispatcher, and send some seconds of calls", Args: cli.Args(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error { return lab.Demo(c.Context(), c.OutOrStdout()) }}
 	root.AddCommand(run, demo, fleetLedger(), dispatch())
@@ -123,6 +125,7 @@
 	c := &cobra.Command{Use: "dispatch", Hidden: true, Args: cli.Args(cobra.NoArgs)}
 	file := c.Flags().String("config", "", "operator's file")
 	fresh := c.Flags().Bool("fresh", false, "baseline: a kept list counts as if just told")
+	faults := c.Flags().String("faults", "", "plan of what this process does to itself")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		hup := make(chan os.Signal, 1)
 		signal.Notify(hup, syscall.SIGHUP)
@@ -134,6 +137,15 @@
 			}
 			o.File, o.Webhooks = f, f.Webhooks
 		}
+		if *faults != "" {
+			plan, err := fault.Read(*faults)
+			if err != nil {
+				return err
+			}
+			if o.Network, err = plan.Start(); err != nil {
+				return err
+			}
+		}
 		o.Log = slog.New(o.File.Handler(io.Writer(os.Stderr)))
 		return daemon.Run(c.Context(), o)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 	Log      *slog.Logger
 	Shared   bool // other daemons live in this process: its limits are not this one's
 	Fresh    bool // baseline of experiments: a kept list counts as if just told
+	Network  platform.Network
 }
 
 // Run is the daemon, until ctx ends and all that it has taken is answered.
@@ -72,6 +73,7 @@
 	}
 	fleet := platform.NewFleet(cfg.Setup, max(cfg.Sockets-clients-others, reserved))
 	fleet.Log = log
+	fleet.Through(o.Network)
 	defer fleet.Close()
 	peers, err := platform.ListenPeers(cfg, log)
 	if err != nil {
@@ -114,7 +116,7 @@
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
 	defer core.Close()
-	ln, err := platform.Listen(ctx, cfg.Listen)
+	ln, err := platform.ListenThrough(ctx, o.Network, cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
@@ -123,6 +125,7 @@
 	beside, done := context.WithCancel(context.Background())
 	defer done()
 	channel := platform.NewChannel(cfg, log)
+	channel.Through(o.Network)
 	if keeper != nil {
 		addrs := o.File.List.Discovery
 		if len(addrs) == 0 && cfg.Channel != "" {
--- /dev/null
+++ b/internal/fault/sockets/sockets_test.go
@@ -0,0 +1,60 @@
+package sockets
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread/internal/netfault"
+)
+
+// All that passes is passed unchanged, and every error is one that the program must be able to go on after.
+func TestBytesPassUnchanged(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer plain.Close()
+	i := New(1)
+	i.Follow([]Window{{From: time.Now(), Until: time.Now().Add(time.Hour)}})
+	i.Set(Rates{Accept: 0.5, Connect: 0.5, IO: 0.5})
+	network := i.Network()
+	ln := network.Listener(plain)
+	sent := bytes.Repeat([]byte("0123456789"), 2000)
+	done := make(chan error, 1)
+	go func() {
+		dial := network.Dial((&net.Dialer{}).DialContext)
+		var c net.Conn
+		var err error
+		for c, err = dial(t.Context(), "tcp", plain.Addr().String()); err != nil; c, err = dial(t.Context(), "tcp", plain.Addr().String()) {
+			if !netfault.IsShortage(err) {
+				done <- err
+				return
+			}
+		}
+		defer c.Close()
+		for at := 0; at < len(sent) && err == nil; at += 100 {
+			_, err = netfault.Write(c, sent[at:at+100])
+		}
+		done <- err
+	}()
+	var c net.Conn
+	for c, err = ln.Accept(); err != nil; c, err = ln.Accept() {
+		require.False(t, netfault.EndsListener(err), err)
+	}
+	defer c.Close()
+	var got bytes.Buffer
+	for b := make([]byte, 64); ; {
+		n, err := netfault.Read(c, b)
+		got.Write(b[:n])
+		if err == io.EOF {
+			break
+		}
+		require.NoError(t, err)
+	}
+	require.NoError(t, <-done)
+	assert.Equal(t, sent, got.Bytes())
+}
--- a/internal/lab/boxserver.go
+++ b/internal/lab/boxserver.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,6 +71,8 @@
 	drained time.Time   // when it began to drain
 	failing float64     // share of calls that run and fail at once; probes and orders do not
 
+	around atomic.Pointer[func(http.Handler) http.Handler]
+
 	kick chan struct{}
 	stop context.CancelFunc
 	srv  *http.Server
@@ -91,12 +94,22 @@
 	mux.HandleFunc("GET /c/{class}", s.call)
 	mux.HandleFunc("PUT /c/{model}/{count}", s.order)
 	mux.HandleFunc("DELETE /c/{model}", s.unload)
-	s.srv = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
+	s.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handler(mux).ServeHTTP(w, r) }), ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = s.srv.Serve(ln) }()
 	go s.run(ctx)
 	return s, nil
 }
 
+// Around has every request pass through what wrap makes of the box's own handler, from now on.
+func (s *BoxServer) Around(wrap func(http.Handler) http.Handler) { s.around.Store(&wrap) }
+
+func (s *BoxServer) handler(own http.Handler) http.Handler {
+	if wrap := s.around.Load(); wrap != nil {
+		return (*wrap)(own)
+	}
+	return own
+}
+
 // run lets the model's time pass and answers what has ended.
 func (s *BoxServer) run(ctx context.Context) {
 	t := time.NewTimer(time.Hour)
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -24,9 +24,10 @@
 	Settings           func(dispatcher int, s map[string]any) // changes to the platform's settings; nil: none
 	Figures            *Figures
 	Program            Program
-	Debug              bool // dispatchers log at level debug
-	Zones              int  // boxes and dispatchers belong to these in turn; 0: 2
-	Group              int  // of addresses in the net; each rig of a run has its own, three apart
+	Debug              bool   // dispatchers log at level debug
+	Operators          string // more of the operator's file
+	Zones              int    // boxes and dispatchers belong to these in turn; 0: 2
+	Group              int    // of addresses in the net; each rig of a run has its own, three apart
 	Seed               uint64
 }
 
@@ -133,7 +134,7 @@
 		if r.Debug {
 			level = "debug"
 		}
-		d, err := LayWith(r.dir, n, r.addr(groupNodes, n, 9200), settings, r.Words.Peers(n), way.Addr, fmt.Sprintf("[log]\nlevel = %q\n", level))
+		d, err := LayWith(r.dir, n, r.addr(groupNodes, n, 9200), settings, r.Words.Peers(n), way.Addr, fmt.Sprintf("[log]\nlevel = %q\n%s", level, r.Operators))
 		if err != nil {
 			return err
 		}
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -45,8 +45,12 @@
 	bad    string // the last line that cannot be read
 	gap    bool   // one was passed over: the next number is the next there is
 	log    *slog.Logger
+	dial   DialFunc
 }
 
+// Through puts something between the Channel and the system's sockets; it must be called before Follow.
+func (c *Channel) Through(n Network) { c.dial = n.dial(c.dial) }
+
 // Feed takes what the channel tells, in order, from one goroutine.
 type Feed interface {
 	Told(r oakthread.Roster, epoch string, cursor int64)
@@ -65,7 +69,7 @@
 
 // NewChannel follows the channel of a configuration from the events on that it holds.
 func NewChannel(c *Config, log *slog.Logger) *Channel {
-	return &Channel{addr: c.Channel, moved: make(chan string, 1), setup: c.Setup, known: c.Known, cursor: c.Cursor, log: log,
+	return &Channel{addr: c.Channel, moved: make(chan string, 1), setup: c.Setup, known: c.Known, cursor: c.Cursor, log: log, dial: (&net.Dialer{Timeout: channelDial}).DialContext,
 		dialer: roster.NewDialer([]string{c.Channel}, c.Seed).Within(channelMost)}
 }
 
@@ -153,8 +157,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	d := net.Dialer{Timeout: channelDial}
-	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	conn, err := c.dial(ctx, "tcp", c.addr)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -74,7 +74,7 @@
 	classes atomic.Pointer[[]string] // by number, escaped for a path; only grows
 	fields  []string
 	connect time.Duration
-	reach   func(ctx context.Context, network, addr string) (net.Conn, error)
+	reach   DialFunc
 	idle    time.Duration
 	settle  time.Duration
 	slots   chan struct{} // one for each open connection
@@ -128,6 +128,9 @@
 	return f
 }
 
+// Through puts something between the Fleet and the system's sockets; it must be called before the first use.
+func (f *Fleet) Through(n Network) { f.reach = n.dial(f.reach) }
+
 // line is the line of an executor, made where there is none; the caller holds mu. One made late, for an executor already
 // forgotten, is nobody's to drop: those unused for long go when the next is made.
 func (f *Fleet) line(m oakthread.Member) *line {
--- a/internal/platform/listen.go
+++ b/internal/platform/listen.go
@@ -23,6 +23,15 @@
 	return ln, nil
 }
 
+// ListenThrough is Listen for the clients' side, with what stands between.
+func ListenThrough(ctx context.Context, n Network, addr string) (net.Listener, error) {
+	ln, err := Listen(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return n.listener(ln), nil
+}
+
 // ListenPacket opens a UDP socket on addr, shared in the same way.
 func ListenPacket(ctx context.Context, addr string) (*net.UDPConn, error) {
 	pc, err := shared.ListenPacket(ctx, "udp", addr)
@@ -32,6 +41,30 @@
 	return pc.(*net.UDPConn), nil
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Network is what stands between the dispatcher and the system's sockets. The zero value is nothing: the program's own. The
+// laboratory's nodes put faults there.
+type Network struct {
+	Listener func(net.Listener) net.Listener // of the clients; must keep SetDeadline and SyscallConn
+	Dial     func(DialFunc) DialFunc         // to executors and to discovery
+}
+
+func (n Network) listener(ln net.Listener) net.Listener {
+	if n.Listener == nil {
+		return ln
+	}
+	return n.Listener(ln)
+}
+
+func (n Network) dial(plain DialFunc) DialFunc {
+	if n.Dial == nil {
+		return plain
+	}
+	return n.Dial(plain)
+}
+
 var shared = net.ListenConfig{Control: reusePort}
 
 func reusePort(_, _ string, c syscall.RawConn) error {
--- /dev/null
+++ b/internal/soak/campaign.go
@@ -0,0 +1,255 @@
+package soak
+
+// This file owns a campaign: runs over many seeds, some at a time, the shortening of what fails, and the table.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"oakthread/internal/lab"
+)
+
+// Options of a campaign.
+type Options struct {
+	Seed      uint64 // the first
+	Seeds     int
+	Processes int
+	Jobs      int    // runs at a time
+	Only      []Kind // empty: all troubles
+	Replay    *Schedule
+	Shorten   bool // what fails is run again with less, to the shortest that fails
+	Dir       string
+	Program   lab.Program
+	Progress  func(format string, args ...any)
+}
+
+// Limits of a campaign on this machine.
+const (
+	mostProcesses = 40
+	mostAtATime   = 240                // processes of all runs together
+	mostMemory    = 12 << 30           // bytes
+	perProcess    = 48 << 20           // bytes that a process may come to
+	shortenTime   = 4 * time.Minute    // for all that fails
+	hardTime      = 90 * time.Second   // for one run
+	seedsQuick    = 3                  // of the quick form
+	processQuick  = 10                 // and its processes
+	tableColumn   = 2                  // spaces between columns of the table
+	progressEvery = 10                 // runs between two lines of progress
+	failuresTold  = 12                 // violations told of one run
+	jsonIndent    = " "                // of the report
+	reportName    = "soak.json"        // in the campaign's folder
+	scheduleName  = "shortest.json"    // of what fails, in the run's folder
+	runFolder     = "seed-%d"          // of a run
+	shorterFolder = "seed-%d-short-%d" // of a shortened one
+)
+
+// ErrTooLarge says that a campaign would take more processes or memory than it may.
+var ErrTooLarge = errors.New("soak: too many processes at a time")
+
+// Campaign is what came of all runs.
+type Campaign struct {
+	Runs  []Result            `json:"runs"`
+	Pairs map[string]*Pair    `json:"pairs"`
+	Short map[uint64]Schedule `json:"short,omitempty"` // the shortest schedules that fail, by seed
+}
+
+// Pair counts the runs in which two troubles overlapped.
+type Pair struct {
+	Played, Failed int
+}
+
+// Failed are the runs with violations, inconclusive ones left out.
+func (c *Campaign) Failed() (out []Result) {
+	for _, r := range c.Runs {
+		if len(r.Violations) > 0 && !r.Inconclusive() {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Quick are the options of the short form: three seeds of ten processes.
+func (o Options) Quick() Options {
+	o.Seeds, o.Processes, o.Shorten = seedsQuick, processQuick, false
+	return o
+}
+
+// check refuses what the machine is not to bear.
+func (o Options) check() error {
+	switch {
+	case o.Processes < 1 || o.Processes > mostProcesses || o.Seeds < 1 || o.Jobs < 1:
+		return fmt.Errorf("%w: 1 to %d processes, one seed and one job at the least", ErrTooLarge, mostProcesses)
+	case o.Processes*o.Jobs > mostAtATime || o.Processes*o.Jobs*perProcess > mostMemory:
+		return fmt.Errorf("%w: %d, and %d may run", ErrTooLarge, o.Processes*o.Jobs, min(mostAtATime, mostMemory/perProcess))
+	}
+	return nil
+}
+
+// Play runs a campaign. An error tells of runs that could not be made; violations are in the campaign.
+func Play(ctx context.Context, o Options) (*Campaign, error) {
+	if o.Jobs == 0 {
+		o.Jobs = max(1, runtime.NumCPU()/2)
+	}
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	schedules := []Schedule{}
+	if o.Replay != nil {
+		schedules = append(schedules, *o.Replay)
+	}
+	for i := range uint64(o.Seeds) {
+		if o.Replay == nil {
+			schedules = append(schedules, Draw(o.Seed+i, o.Processes, o.Only))
+		}
+	}
+	c := &Campaign{Pairs: map[string]*Pair{}, Short: map[uint64]Schedule{}}
+	err := c.playAll(ctx, o, schedules)
+	if o.Shorten {
+		c.shorten(ctx, o)
+	}
+	return c, errors.Join(err, c.write(filepath.Join(o.Dir, reportName)))
+}
+
+// playAll plays schedules, some at a time.
+func (c *Campaign) playAll(ctx context.Context, o Options, schedules []Schedule) error {
+	var mu sync.Mutex
+	var failed error
+	var runs sync.WaitGroup
+	places := make(chan struct{}, o.Jobs)
+	for _, s := range schedules {
+		places <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-places }()
+			one, cancel := context.WithTimeout(ctx, hardTime)
+			defer cancel()
+			r, err := Run(one, s, filepath.Join(o.Dir, fmt.Sprintf(runFolder, s.Seed)), o.Program)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = errors.Join(failed, fmt.Errorf("seed %d: %w", s.Seed, err))
+			}
+			c.add(r)
+			tell(o, r, len(c.Runs), len(schedules))
+		})
+	}
+	runs.Wait()
+	return failed
+}
+
+// tell writes progress.
+func tell(o Options, r Result, done, all int) {
+	if o.Progress == nil {
+		return
+	}
+	if r.Inconclusive() {
+		o.Progress("seed %d: inconclusive, the laboratory stood still for %v (%d violations not counted)", r.Schedule.Seed, r.Stalled, len(r.Violations))
+	} else if len(r.Violations) > 0 {
+		o.Progress("seed %d: %d violations, in %s", r.Schedule.Seed, len(r.Violations), r.Dir)
+		for _, v := range r.Violations[:min(len(r.Violations), failuresTold)] {
+			o.Progress("  %s", v)
+		}
+	}
+	if done%progressEvery == 0 || done == all {
+		o.Progress("%d of %d runs", done, all)
+	}
+}
+
+func (c *Campaign) add(r Result) {
+	c.Runs = append(c.Runs, r)
+	if r.Inconclusive() {
+		return
+	}
+	for _, name := range r.Schedule.Pairs() {
+		if c.Pairs[name] == nil {
+			c.Pairs[name] = &Pair{}
+		}
+		c.Pairs[name].Played++
+		if len(r.Violations) > 0 {
+			c.Pairs[name].Failed++
+		}
+	}
+}
+
+// shorten runs what failed again with less, as far as it still breaks one of the same rules.
+func (c *Campaign) shorten(ctx context.Context, o Options) {
+	within, cancel := context.WithTimeout(ctx, shortenTime)
+	defer cancel()
+	for _, r := range c.Failed() {
+		tries := 0
+		short := r.Schedule.Shorten(func(s Schedule) bool {
+			if within.Err() != nil {
+				return false
+			}
+			tries++
+			again, err := Run(within, s, filepath.Join(o.Dir, fmt.Sprintf(shorterFolder, s.Seed, tries)), o.Program)
+			return err == nil && !again.Inconclusive() && sharesRule(r.Violations, again.Violations)
+		})
+		c.Short[r.Schedule.Seed] = short
+		path := filepath.Join(r.Dir, scheduleName)
+		if err := short.Write(path); err == nil && o.Progress != nil {
+			o.Progress("seed %d: shortest that fails, of %d runs: %v; play it with oaklab run soak --replay %s", r.Schedule.Seed, tries, short.Troubles, path)
+		}
+	}
+}
+
+func sharesRule(a, b []Violation) bool {
+	return slices.ContainsFunc(a, func(x Violation) bool {
+		return slices.ContainsFunc(b, func(y Violation) bool { return x.Rule == y.Rule })
+	})
+}
+
+func (c *Campaign) write(path string) error {
+	raw, err := json.MarshalIndent(c, "", jsonIndent)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o600)
+}
+
+// Print writes the table: by pair of troubles how often it was played and failed, then the sums by rule.
+func (c *Campaign) Print(out io.Writer) {
+	t := tabwriter.NewWriter(out, 0, 0, tableColumn, ' ', 0)
+	fmt.Fprintln(t, "troubles\tplayed\tfailed")
+	names := make([]string, 0, len(c.Pairs))
+	for name := range c.Pairs {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if d := c.Pairs[b].Failed - c.Pairs[a].Failed; d != 0 {
+			return d
+		}
+		return strings.Compare(a, b)
+	})
+	for _, name := range names {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", name, c.Pairs[name].Played, c.Pairs[name].Failed)
+	}
+	_ = t.Flush()
+	inconclusive, requests, served := 0, 0, 0
+	rules := map[Rule]int{}
+	for _, r := range c.Runs {
+		requests, served = requests+r.Requests, served+r.Served
+		if r.Inconclusive() {
+			inconclusive++
+			continue
+		}
+		for _, v := range r.Violations {
+			rules[v.Rule]++
+		}
+	}
+	fmt.Fprintf(out, "%d runs, %d with violations, %d inconclusive; %d requests, %d served; %d pairs of troubles\n", len(c.Runs), len(c.Failed()),
+		inconclusive, requests, served, len(names))
+	for rule, n := range rules {
+		fmt.Fprintf(out, "violations of %q: %d\n", rule, n)
+	}
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,351 @@
+package soak
+
+// This file owns the clients: raw connections on which requests are written and answers read, and a record of each request.
+// It must never decide whether a rule was kept: the oracle does.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oakthread/internal/lab"
+)
+
+// End is how a request ended for its client.
+type End string
+
+// Ends of a request.
+const (
+	NotSent    End = "not sent"    // no connection, or it ended before the last byte was written
+	Answered   End = "answered"    // a whole answer came
+	Cut        End = "cut"         // a part of an answer came
+	Closed     End = "closed"      // the connection ended, and nothing came
+	Overdue    End = "overdue"     // nothing came in time
+	Left       End = "left"        // the client left before
+	NeverWhole End = "never whole" // the client did not write all of it
+)
+
+// Request is the record of one request.
+type Request struct {
+	ID       string        `json:"id"`
+	Node     int           `json:"node"`
+	Class    int           `json:"class"`
+	Reused   bool          `json:"reused"` // its connection had carried another before
+	Sent     time.Time     `json:"sent"`   // before its first byte
+	Whole    time.Time     `json:"whole"`  // when its last byte was written
+	Patience time.Duration `json:"patience"`
+	Ended    time.Time     `json:"ended"`
+	End      End           `json:"end"`
+	Status   int           `json:"status"`
+	Wrong    bool          `json:"wrong"` // served with what no executor made for it
+	Second   bool          `json:"second"`
+	LeftAt   time.Time     `json:"left_at"`
+	Err      string        `json:"err,omitempty"`
+}
+
+// behaviour is what the clients of a node do, each by a share of their calls.
+type behaviour struct {
+	Leave, Dawdle, Retry, Brief float64
+}
+
+const (
+	late        = 500 * time.Millisecond // an answer so much past its time earns nothing; later it is lost
+	readSlack   = 300 * time.Millisecond // for this machine, beyond that
+	dialTime    = time.Second
+	keptConns   = 16
+	dawdleWhole = 900 * time.Millisecond // in pieces, but within the front's time for a head and a body
+	dawdleNever = 4 * time.Second
+	briefTime   = 60 * time.Millisecond // at the most, for clients in a hurry
+	keepFor     = 3500 * time.Millisecond
+)
+
+// Clients are the clients of one dispatcher.
+type Clients struct {
+	node    int
+	addr    string
+	figures *lab.Figures
+	rate    float64
+	models  int
+	rng     *rand.Rand
+
+	mu      sync.Mutex
+	how     behaviour
+	idle    []*kept
+	records []*Request
+	seq     atomic.Int64
+	wait    sync.WaitGroup
+}
+
+type kept struct {
+	net.Conn
+	in   *bufio.Reader
+	used time.Time
+}
+
+func newClients(node int, addr string, f *lab.Figures, rate float64, seed uint64) *Clients {
+	return &Clients{node: node, addr: addr, figures: f, rate: rate, models: 40, rng: rand.New(rand.NewPCG(seed, uint64(node)+1))}
+}
+
+// behave changes what the clients do from now on.
+func (c *Clients) behave(change func(*behaviour)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.how)
+}
+
+// Records are the requests so far; complete once run has returned.
+func (c *Clients) Records() []*Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Request(nil), c.records...)
+}
+
+// run sends calls at random moments until ctx ends, then waits for the last answers.
+func (c *Clients) run(ctx context.Context) {
+	defer func() {
+		c.wait.Wait()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, k := range c.idle {
+			_ = k.Close()
+		}
+		c.idle = nil
+	}()
+	next := time.Now()
+	for {
+		c.mu.Lock()
+		next = next.Add(time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second)))
+		call := c.drawCall()
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		c.wait.Go(func() { c.call(call) })
+	}
+}
+
+// plannedCall is a call as it was drawn.
+type plannedCall struct {
+	class    int
+	model    uint64
+	patience time.Duration
+	leave    time.Duration // after its last byte; 0: the client stays
+	way      int           // of leaving
+	dawdle   int           // 0: not; 1: in pieces; 2: never whole
+	retry    bool
+	fresh    bool // on a new connection
+}
+
+// drawCall draws the next call; the caller holds mu.
+func (c *Clients) drawCall() plannedCall {
+	p := plannedCall{class: len(c.figures.Classes) - 1, model: 0x7f00 + uint64(c.rng.IntN(c.models)), fresh: c.rng.IntN(4) == 0}
+	u := c.rng.Float64()
+	for i, k := range c.figures.Classes {
+		if u -= k.Share; u < 0 {
+			p.class = i
+			break
+		}
+	}
+	p.patience = c.figures.Classes[p.class].GiveUp
+	if c.rng.Float64() < c.how.Brief {
+		p.patience = time.Millisecond + time.Duration(c.rng.Int64N(int64(briefTime)))
+	}
+	if c.rng.Float64() < c.how.Leave {
+		p.leave, p.way = time.Duration(1+c.rng.Int64N(int64(250*time.Millisecond))), c.rng.IntN(3)
+	}
+	if c.rng.Float64() < c.how.Dawdle {
+		p.dawdle = 1 + c.rng.IntN(2)
+	}
+	p.retry = c.rng.Float64() < c.how.Retry
+	return p
+}
+
+// call makes a call and what follows from it: one that crossed the close of an idle connection is sent again, once, and a
+// refused one by clients that come again at once.
+func (c *Clients) call(p plannedCall) {
+	r := c.send(p)
+	if r.End == Closed && r.Reused && r.Ended.Sub(r.Whole) < crossed {
+		p.fresh = true
+		r = c.send(p)
+	}
+	for tries := 0; p.retry && tries < 3 && r.End == Answered && refused(r.Status); tries++ {
+		p.fresh = true
+		r = c.send(p)
+	}
+}
+
+func refused(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// connection is an idle one, or a new one.
+func (c *Clients) connection(fresh bool) (*kept, bool, error) {
+	c.mu.Lock()
+	for n := len(c.idle); n > 0 && !fresh; n = len(c.idle) {
+		k := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		if time.Since(k.used) < keepFor {
+			c.mu.Unlock()
+			return k, true, nil
+		}
+		_ = k.Close()
+	}
+	c.mu.Unlock()
+	conn, err := net.DialTimeout("tcp", c.addr, dialTime)
+	if err != nil {
+		return nil, false, err
+	}
+	return &kept{Conn: conn, in: bufio.NewReader(conn)}, false, nil
+}
+
+func (c *Clients) giveBack(k *kept) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.used = time.Now()
+	if len(c.idle) >= keptConns {
+		_ = c.idle[0].Close()
+		c.idle = c.idle[1:]
+	}
+	c.idle = append(c.idle, k)
+}
+
+// send makes one request and records it.
+func (c *Clients) send(p plannedCall) *Request {
+	r := &Request{ID: fmt.Sprintf("%03x%013x", c.node, c.seq.Add(1)), Node: c.node, Class: p.class, Patience: p.patience, End: NotSent}
+	defer func() {
+		r.Ended = time.Now()
+		c.mu.Lock()
+		c.records = append(c.records, r)
+		c.mu.Unlock()
+	}()
+	k, reused, err := c.connection(p.fresh)
+	if err != nil {
+		r.Err = err.Error()
+		return r
+	}
+	r.Reused, r.Sent = reused, time.Now()
+	body := "slot " + r.ID
+	head := fmt.Sprintf("POST /call/%016x/trigger HTTP/1.1\r\nHost: origin.svc\r\nX-Class: %s\r\nX-Call-Id: %s\r\nX-Patience-Ms: %d\r\n"+
+		"X-Extras: memory_mb:4000;lanes:%d;load_ms:%d\r\nContent-Length: %d\r\n\r\n%s", p.model, c.figures.Classes[p.class].Name, r.ID,
+		max(1, p.patience.Milliseconds()), c.figures.Lanes, c.figures.Load.Milliseconds(), len(body), body)
+	if !c.write(k, r, p, head) {
+		_ = k.Close()
+		return r
+	}
+	r.Whole = time.Now()
+	if p.leave > 0 {
+		time.AfterFunc(p.leave, func() { leaveBy(k.Conn, p.way) })
+	}
+	c.read(k, r, p, body)
+	return r
+}
+
+// write writes a request, in pieces where the client dawdles; false: not all of it was written.
+func (c *Clients) write(k *kept, r *Request, p plannedCall, text string) bool {
+	if p.dawdle == 0 {
+		if _, err := io.WriteString(k, text); err != nil {
+			r.Err = err.Error()
+			return false
+		}
+		return true
+	}
+	const pieces = 4
+	for i := range pieces {
+		if p.dawdle == 2 && i == pieces-1 {
+			r.End = NeverWhole
+			_ = k.SetReadDeadline(time.Now().Add(dawdleNever))
+			_, _ = io.Copy(io.Discard, k) // until the dispatcher ends it
+			return false
+		}
+		if _, err := io.WriteString(k, text[len(text)*i/pieces:len(text)*(i+1)/pieces]); err != nil {
+			r.Err = err.Error()
+			return false
+		}
+		if i < pieces-1 {
+			time.Sleep(dawdleWhole / pieces)
+		}
+	}
+	return true
+}
+
+// leaveBy ends a client's side: closed, reset, or only for sending.
+func leaveBy(c net.Conn, way int) {
+	t, ok := c.(*net.TCPConn)
+	switch {
+	case way == 1 && ok:
+		_ = t.SetLinger(0)
+		_ = c.Close()
+	case way == 2 && ok:
+		_ = t.CloseWrite()
+	default:
+		_ = c.Close()
+	}
+}
+
+// read reads the answer.
+func (c *Clients) read(k *kept, r *Request, p plannedCall, body string) {
+	_ = k.SetReadDeadline(r.Whole.Add(p.patience + late + readSlack))
+	resp, err := http.ReadResponse(k.in, nil)
+	var got []byte
+	if err == nil {
+		r.Status = resp.StatusCode
+		got, err = io.ReadAll(resp.Body)
+	}
+	if p.leave > 0 && time.Since(r.Whole) >= p.leave {
+		r.End, r.LeftAt = Left, r.Whole.Add(p.leave)
+		_ = k.Close()
+		return
+	}
+	switch {
+	case err == nil:
+		r.End = Answered
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		r.End = Overdue
+	case r.Status != 0 || k.in.Buffered() > 0 || errors.Is(err, io.ErrUnexpectedEOF) && !strings.Contains(err.Error(), "EOF"):
+		r.End = Cut
+	default:
+		r.End = Closed
+	}
+	if err != nil {
+		r.Err = err.Error()
+		_ = k.Close()
+		return
+	}
+	r.Wrong = r.Status == http.StatusOK && string(got) != r.ID+body
+	r.Second = k.in.Buffered() > 0
+	if resp.Close || p.leave > 0 || r.Second {
+		_ = k.Close()
+		return
+	}
+	_ = k.SetReadDeadline(time.Time{})
+	c.giveBack(k)
+}
+
+// flood opens connections that say nothing and closes them when ctx ends.
+func (c *Clients) flood(ctx context.Context, n int) {
+	var conns []net.Conn
+	for range n {
+		if conn, err := net.DialTimeout("tcp", c.addr, dialTime); err == nil {
+			conns = append(conns, conn)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	<-ctx.Done()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/soak/executor.go
@@ -0,0 +1,137 @@
+package soak
+
+// This file owns what stands around an executor: a record of every request that came to it, and the ways in which its
+// answers go wrong.
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Arrival is a call that came to an executor.
+type Arrival struct {
+	Executor int           `json:"executor"`
+	ID       string        `json:"id"`
+	At       time.Time     `json:"at"` // when its head was whole
+	Budget   time.Duration `json:"budget"`
+	Ran      bool          `json:"ran"` // it was taken on
+	Status   int           `json:"status"`
+}
+
+// executor watches the requests of one executor and spoils its answers.
+type executor struct {
+	n int
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	spoil    map[Kind]float64 // shares
+	arrivals []*Arrival
+}
+
+func newExecutor(n int, seed uint64) *executor {
+	return &executor{n: n, rng: rand.New(rand.NewPCG(seed, uint64(n)+1<<32)), spoil: map[Kind]float64{}}
+}
+
+// set has a share of the answers spoilt in a way; 0: none.
+func (e *executor) set(kind Kind, share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spoil[kind] = share
+}
+
+func (e *executor) draws(kind Kind) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rng.Float64() < e.spoil[kind]
+}
+
+func (e *executor) seen() []*Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*Arrival(nil), e.arrivals...)
+}
+
+// around is the executor's handler with the record and the spoiling.
+func (e *executor) around(own http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Hop-Id")
+		if id == "" { // a probe or an order
+			own.ServeHTTP(w, r)
+			return
+		}
+		budget, _ := strconv.Atoi(r.Header.Get("X-Budget"))
+		a := &Arrival{Executor: e.n, ID: id, At: time.Now(), Budget: time.Duration(budget) * time.Millisecond}
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, a)
+		e.mu.Unlock()
+		rec := httptest.NewRecorder()
+		own.ServeHTTP(rec, r)
+		e.mu.Lock()
+		a.Status = rec.Code
+		a.Ran = rec.Code == http.StatusOK || rec.Code == http.StatusInternalServerError
+		e.mu.Unlock()
+		e.answer(w, rec)
+	})
+}
+
+// answer writes what the executor answered, spoilt where that is drawn.
+func (e *executor) answer(w http.ResponseWriter, rec *httptest.ResponseRecorder) {
+	twice, pieces, cut, closes := e.draws(AnswerTwice), e.draws(AnswerPieces), e.draws(AnswerCut), e.draws(IdleClosed)
+	if !twice && !pieces && !cut {
+		for name, values := range rec.Header() {
+			w.Header()[name] = values
+		}
+		if closes {
+			w.Header().Set("Connection", "close")
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+		return
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := rawAnswer(rec)
+	switch {
+	case cut:
+		_, _ = conn.Write(text[:len(text)/2])
+	case pieces:
+		for at := 0; at < len(text); at += len(text)/5 + 1 {
+			_, _ = conn.Write(text[at:min(len(text), at+len(text)/5+1)])
+			time.Sleep(time.Millisecond)
+		}
+		lingerOpen(conn)
+	default:
+		_, _ = conn.Write(text)
+		e.mu.Lock()
+		wait := time.Duration(e.rng.Int64N(int64(8 * time.Millisecond)))
+		e.mu.Unlock()
+		time.Sleep(wait)
+		_, _ = conn.Write(text)
+		lingerOpen(conn)
+	}
+}
+
+// lingerOpen leaves a connection open for a while, as an idle one is.
+func lingerOpen(c net.Conn) {
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, _ = c.Read(make([]byte, 1))
+}
+
+func rawAnswer(rec *httptest.ResponseRecorder) []byte {
+	out := []byte("HTTP/1.1 " + strconv.Itoa(rec.Code) + " " + http.StatusText(rec.Code) + "\r\n")
+	rec.Header().Set("Content-Length", strconv.Itoa(rec.Body.Len()))
+	for name, values := range rec.Header() {
+		for _, v := range values {
+			out = append(out, name+": "+v+"\r\n"...)
+		}
+	}
+	return append(append(out, "\r\n"...), rec.Body.Bytes()...)
+}
--- /dev/null
+++ b/internal/soak/oracle.go
@@ -0,0 +1,254 @@
+package soak
+
+// This file owns the oracle: from the records of clients, executors and processes it finds what broke a rule. It is pure.
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Rule names what a violation broke. docs/design/invariants.md has them with their sources.
+type Rule string
+
+// Rules that a run is checked for.
+const (
+	RuleAnswered  Rule = "answered"     // a request that was taken gets its final answer in time
+	RuleOneAnswer Rule = "one answer"   // and only one
+	RuleTrue      Rule = "true answer"  // served with what an executor made for it
+	RuleOnce      Rule = "once"         // a call that must not run twice does not
+	RuleRefusal   Rule = "refusal"      // a refused call had no effect
+	RuleLeft      Rule = "client left"  // nothing begins over 0.1 s after the client left
+	RuleBudget    Rule = "time told"    // an executor is told at most what the client has left
+	RuleDrain     Rule = "drain"        // nothing is sent to what drains
+	RuleColdStart Rule = "cold start"   // a cold executor does not fall
+	RuleProcess   Rule = "process"      // no process ends by itself, and each ends well
+	RuleReady     Rule = "ready"        // ready within 10 s of a start
+	RuleRecovers  Rule = "recovers"     // calls are served once troubles are over
+	RuleDatagrams Rule = "datagram"     // 256 bytes at most
+	RuleHarness   Rule = "inconclusive" // the laboratory itself stood still: nothing is said
+)
+
+// Violation is one breach.
+type Violation struct {
+	Rule   Rule   `json:"rule"`
+	Node   int    `json:"node"`
+	ID     string `json:"id,omitempty"`
+	Detail string `json:"detail"`
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: node %d %s: %s", v.Rule, v.Node, v.ID, v.Detail)
+}
+
+// Slack of the rules.
+const (
+	crossed     = 250 * time.Millisecond // a close that a request crossed comes by then; the page says 50 ms, and this machine is busy
+	leftSlack   = 100*time.Millisecond + 80*time.Millisecond
+	budgetSlack = 150*time.Millisecond + 40*time.Millisecond
+	takenAtEnd  = 700 * time.Millisecond // after SIGTERM a request that comes later is owed nothing
+	endSlack    = 900 * time.Millisecond // beyond the longest deadline and the 0.7 s
+	readyIn     = 10 * time.Second
+	servedLeast = 0.5 // of the calls that come in the calm end
+	pauseTail   = 400 * time.Millisecond
+	drainSlack  = time.Second + 50*time.Millisecond + 100*time.Millisecond // the settings' grace, the page's slack and this machine's
+	untoldTail  = 2500 * time.Millisecond                                  // a lost channel is found and opened again by then
+)
+
+// Records are what a run left.
+type Records struct {
+	Requests []*Request
+	Arrivals []*Arrival
+	Lives    [][]Life // by node
+	Paused   [][]span
+	Troubled []span // by executor relay: a way was not open, or slow, for some node
+	Drains   []Drain
+	Untold   [][]span // by node: discovery's way to it was not open
+	Once     func(class int) bool
+	Longest  time.Duration // that any client waits
+	CalmFrom time.Time     // troubles have been over for a while
+	CalmTo   time.Time
+}
+
+// Drain is a time in which an executor drained, from when discovery had told of it.
+type Drain struct {
+	Executor int
+	span
+}
+
+// Judge finds the violations of a run.
+func Judge(r Records) []Violation {
+	j := judge{Records: r, arrived: map[string][]*Arrival{}}
+	for _, a := range r.Arrivals {
+		j.arrived[a.ID] = append(j.arrived[a.ID], a)
+	}
+	for _, q := range r.Requests {
+		j.answered(q)
+		j.effects(q)
+		j.arrivals(q)
+	}
+	j.processes()
+	j.recovers()
+	return j.found
+}
+
+type judge struct {
+	Records
+	arrived map[string][]*Arrival
+	found   []Violation
+}
+
+func (j *judge) broken(rule Rule, node int, id, format string, args ...any) {
+	j.found = append(j.found, Violation{rule, node, id, fmt.Sprintf(format, args...)})
+}
+
+// answered looks whether a request got its one answer.
+func (j *judge) answered(q *Request) {
+	if q.Second {
+		j.broken(RuleOneAnswer, q.Node, q.ID, "bytes came behind the answer")
+	}
+	if q.Wrong {
+		j.broken(RuleTrue, q.Node, q.ID, "served with another body")
+	}
+	switch q.End {
+	case Closed:
+		if q.Reused && q.Ended.Sub(q.Whole) < crossed && len(j.arrived[q.ID]) == 0 {
+			return // it crossed the close of an idle connection, and was not taken
+		}
+	case Overdue, Cut:
+	default:
+		return
+	}
+	if j.owed(q) {
+		j.broken(RuleAnswered, q.Node, q.ID, "%s after %v of %v, reused %v, arrivals %d (%s)", q.End, q.Ended.Sub(q.Whole).Round(time.Millisecond),
+			q.Patience, q.Reused, len(j.arrived[q.ID]), q.Err)
+	}
+}
+
+// owed tells whether an answer was owed: a process was there that took the request and was not killed. One that was stopped
+// meanwhile may answer late, and may no more close the connection than any other.
+func (j *judge) owed(q *Request) bool {
+	for _, p := range j.Paused[q.Node] {
+		p.until = p.until.Add(pauseTail)
+		if q.End == Overdue && p.overlaps(q.Sent, q.Ended) {
+			return false
+		}
+	}
+	for _, l := range j.Lives[q.Node] {
+		if q.Whole.Before(l.Begun) || !l.Ended.IsZero() && l.Ended.Before(q.Sent) {
+			continue
+		}
+		if !l.Killed.IsZero() && l.Killed.Before(q.Ended) {
+			return false
+		}
+		if !l.Ending.IsZero() && q.Whole.Sub(l.Ending) > takenAtEnd {
+			return false
+		}
+		return true
+	}
+	return false
+}
+
+// effects looks at what a call did.
+func (j *judge) effects(q *Request) {
+	if !j.Once(q.Class) {
+		return
+	}
+	ran := 0
+	for _, a := range j.arrived[q.ID] {
+		if a.Ran {
+			ran++
+		}
+	}
+	if ran > 1 {
+		j.broken(RuleOnce, q.Node, q.ID, "it ran %d times", ran)
+	}
+	if ran > 0 && q.End == Answered && refused(q.Status) {
+		j.broken(RuleRefusal, q.Node, q.ID, "refused with %d, and it ran", q.Status)
+	}
+}
+
+// arrivals looks at when a call came to executors and what they were told.
+func (j *judge) arrivals(q *Request) {
+	for _, a := range j.arrived[q.ID] {
+		if late := a.At.Sub(q.LeftAt); !q.LeftAt.IsZero() && late > leftSlack && !j.disturbed(q.Node, q.LeftAt, a.At) {
+			j.broken(RuleLeft, q.Node, q.ID, "came to executor %d %v after its client had left", a.Executor, late.Round(time.Millisecond))
+		}
+		j.drained(q, a)
+		if q.Whole.IsZero() || j.disturbed(q.Node, q.Whole, a.At) {
+			continue
+		}
+		left := q.Patience - a.At.Sub(q.Whole)
+		if a.Budget > max(left, time.Millisecond)+budgetSlack {
+			j.broken(RuleBudget, q.Node, q.ID, "executor %d was told %v where %v were left", a.Executor, a.Budget, left.Round(time.Millisecond))
+		}
+	}
+}
+
+// drained looks whether an arrival came to an executor long after its dispatcher was told that it drains.
+func (j *judge) drained(q *Request, a *Arrival) {
+	for _, d := range j.Drains {
+		if d.Executor != a.Executor || !d.overlaps(a.At, a.At) || a.At.Sub(d.from) < drainSlack {
+			continue
+		}
+		untold := slices.ContainsFunc(j.Untold[q.Node], func(s span) bool {
+			s.until = s.until.Add(untoldTail)
+			return s.overlaps(d.from, a.At)
+		})
+		if !untold && !j.disturbed(q.Node, d.from, a.At) {
+			j.broken(RuleDrain, q.Node, q.ID, "came to executor %d %v after discovery told that it drains", a.Executor, a.At.Sub(d.from).Round(time.Millisecond))
+		}
+	}
+}
+
+// disturbed tells whether something between the process and the executor, or the process itself, stood still meanwhile.
+func (j *judge) disturbed(node int, from, until time.Time) bool {
+	overlaps := func(s span) bool { return s.overlaps(from, until) }
+	return slices.ContainsFunc(j.Paused[node], overlaps) || slices.ContainsFunc(j.Troubled, overlaps)
+}
+
+// processes looks at how processes ended and how soon they were ready.
+func (j *judge) processes() {
+	for n, lives := range j.Lives {
+		for _, l := range lives {
+			switch {
+			case l.Failure != "":
+				j.broken(RuleProcess, n, "", "it ended badly: %s", l.Failure)
+			case !l.Ended.IsZero() && l.Ending.IsZero() && l.Killed.IsZero():
+				j.broken(RuleProcess, n, "", "it ended by itself")
+			case !l.Ending.IsZero() && l.Killed.IsZero() && l.Ended.Sub(l.Ending) > j.Longest+takenAtEnd+endSlack+j.pausedFor(n):
+				j.broken(RuleProcess, n, "", "it took %v to end", l.Ended.Sub(l.Ending).Round(time.Millisecond))
+			}
+			if l.Ready.IsZero() && l.Killed.IsZero() || l.Ready.Sub(l.Begun) > readyIn {
+				j.broken(RuleReady, n, "", "not ready within %v", readyIn)
+			}
+		}
+	}
+}
+
+func (j *judge) pausedFor(node int) (sum time.Duration) {
+	for _, p := range j.Paused[node] {
+		sum += p.until.Sub(p.from)
+	}
+	return sum
+}
+
+// recovers looks whether each node serves once troubles have been over for a while.
+func (j *judge) recovers() {
+	asked, served := make([]int, len(j.Lives)), make([]int, len(j.Lives))
+	for _, q := range j.Requests {
+		if q.Sent.Before(j.CalmFrom) || !q.Sent.Before(j.CalmTo) || q.End == NotSent {
+			continue
+		}
+		asked[q.Node]++
+		if q.End == Answered && q.Status == http.StatusOK {
+			served[q.Node]++
+		}
+	}
+	for n := range asked {
+		if asked[n] >= 4 && float64(served[n]) < servedLeast*float64(asked[n]) {
+			j.broken(RuleRecovers, n, "", "%d of %d calls served once troubles were over", served[n], asked[n])
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,153 @@
+package soak
+
+// This file owns one run: it starts a world, has its troubles come, and judges what it left.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oakthread/internal/lab"
+)
+
+// Result is what came of a run.
+type Result struct {
+	Schedule   Schedule      `json:"schedule"`
+	Violations []Violation   `json:"violations"`
+	Requests   int           `json:"requests"`
+	Served     int           `json:"served"`
+	Unsent     int           `json:"unsent"`
+	Stalled    time.Duration `json:"stalled"` // the longest that the laboratory itself stood still
+	Dir        string        `json:"dir,omitempty"`
+}
+
+// Inconclusive tells whether the laboratory stood still for so long that nothing is said.
+func (r Result) Inconclusive() bool { return r.Stalled > stallMost }
+
+// stallMost is how long the laboratory may stand still before its times are worth nothing.
+const stallMost = 150 * time.Millisecond
+
+// Run plays a schedule in a folder of its own. program is what a node runs; it takes the arguments --config and --faults.
+func Run(ctx context.Context, s Schedule, dir string, program lab.Program) (Result, error) {
+	res := Result{Schedule: s, Dir: dir}
+	network, err := lab.ClaimNet()
+	if err != nil {
+		return res, err
+	}
+	defer network.Close()
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return res, err
+	}
+	if err := s.Write(filepath.Join(dir, "schedule.json")); err != nil {
+		return res, err
+	}
+	w, err := newWorld(s, dir, network, program)
+	if err != nil {
+		return res, err
+	}
+	defer w.close()
+	if err := w.start(ctx); err != nil {
+		return res, err
+	}
+	wait(ctx, time.Until(w.begin))
+	stalls := watchStalls(ctx)
+	calmFrom, calmTo, err := w.play(ctx)
+	if err != nil {
+		return res, err
+	}
+	w.end()
+	res.Stalled = stalls()
+	res.Violations = w.judge(calmFrom, calmTo)
+	for _, c := range w.clients {
+		for _, q := range c.Records() {
+			res.Requests++
+			switch {
+			case q.End == Answered && q.Status == 200:
+				res.Served++
+			case q.End == NotSent:
+				res.Unsent++
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		return res, ctx.Err()
+	}
+	return res, errors.Join(w.failed...)
+}
+
+// play has the clients send while the troubles come, and then for the calm end.
+func (w *world) play(ctx context.Context) (calmFrom, calmTo time.Time, err error) {
+	sending, enough := context.WithCancel(ctx)
+	defer enough()
+	var clients, troubles sync.WaitGroup
+	for _, c := range w.clients {
+		clients.Go(func() { c.run(sending) })
+	}
+	for _, t := range w.Troubles {
+		troubles.Go(func() { w.trouble(ctx, t) })
+	}
+	troubles.Wait()
+	wait(ctx, time.Until(w.begin.Add(w.Trouble)))
+	calmFrom = time.Now().Add(calmLead)
+	wait(ctx, w.Calm)
+	calmTo = time.Now()
+	enough()
+	clients.Wait()
+	return calmFrom, calmTo, ctx.Err()
+}
+
+// judge gathers what the run left and has it judged.
+func (w *world) judge(calmFrom, calmTo time.Time) []Violation {
+	r := Records{Troubled: w.troubled, Untold: w.untold, Drains: w.drains, CalmFrom: calmFrom, CalmTo: calmTo,
+		Once: func(class int) bool { return w.figures.Classes[class].Once }}
+	for _, k := range w.figures.Classes {
+		r.Longest = max(r.Longest, k.GiveUp)
+	}
+	for _, c := range w.clients {
+		r.Requests = append(r.Requests, c.Records()...)
+	}
+	for _, e := range w.executors {
+		r.Arrivals = append(r.Arrivals, e.seen()...)
+	}
+	for _, n := range w.nodes {
+		lives, paused := n.history()
+		r.Lives, r.Paused = append(r.Lives, lives), append(r.Paused, paused)
+	}
+	found := Judge(r)
+	for i, b := range append(append([]*lab.BoxServer(nil), w.rig.Boxes...), w.rig.Gone...) {
+		if b.Fallen() {
+			found = append(found, Violation{RuleColdStart, -1, b.ID, fmt.Sprintf("executor %d fell", i)})
+		}
+	}
+	if n := lab.Oversize(w.rig.Words.Seen()); n > 0 {
+		found = append(found, Violation{RuleDatagrams, -1, "", fmt.Sprintf("%d datagrams over the limit", n)})
+	}
+	return found
+}
+
+// watchStalls notices when this process stands still; the value ends it and tells the longest time.
+func watchStalls(ctx context.Context) func() time.Duration {
+	const every = 10 * time.Millisecond
+	watching, stop := context.WithCancel(ctx)
+	var longest atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		last := time.Now()
+		for wait(watching, every) {
+			now := time.Now()
+			longest.Store(max(longest.Load(), int64(now.Sub(last)-every)))
+			last = now
+		}
+	}()
+	return func() time.Duration {
+		stop()
+		<-done
+		return time.Duration(longest.Load())
+	}
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,260 @@
+// Package soak runs real dispatcher processes on loopback under troubles that overlap, drawn from a seed, and checks what
+// clients and executors saw against the platform's rules. It never takes a dispatcher's own word.
+//
+// This file owns the schedule: which troubles come when, drawn from a seed, kept as JSON and shortened. It is pure.
+package soak
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// Kinds of trouble.
+const (
+	Terminate Kind = "terminate" // SIGTERM, then a start on the same address
+	Crash     Kind = "crash"     // SIGKILL, then a start on the same address
+	Pause     Kind = "pause"     // SIGSTOP and SIGCONT
+	Reload    Kind = "reload"    // SIGHUP with a good file
+	ReloadBad Kind = "reloadbad" // SIGHUP with a file that lacks keys, or is cut off in the middle
+
+	ExecutorHang   Kind = "hang"      // connections come up, and nothing passes on them
+	ExecutorVanish Kind = "vanish"    // connections stay open and silent, new ones never come up
+	ExecutorReset  Kind = "reset"     // connections are reset
+	ExecutorSlow   Kind = "slow"      // all that passes is late
+	ExecutorDrain  Kind = "drain"     // it drains, and is listed as that
+	ExecutorRenew  Kind = "renew"     // another one, cold, takes its address
+	IdleClosed     Kind = "idleclose" // connections are closed after their answers
+	AnswerTwice    Kind = "twice"     // a second answer comes behind the first, at once or some milliseconds later
+	AnswerPieces   Kind = "pieces"    // an answer comes in pieces
+	AnswerCut      Kind = "cut"       // an answer ends in the middle
+	ExecutorErrors Kind = "errors"    // calls run and fail at once
+
+	DiscoverySilent Kind = "disco-silent" // its connections stay open, and nothing comes
+	DiscoveryReset  Kind = "disco-reset"  // its connections are reset, also within a line
+	DiscoverySlow   Kind = "disco-slow"   // all that it tells is late
+	DiscoveryOver   Kind = "disco-over"   // the whole list comes again
+
+	ClientsLeave  Kind = "leave"  // clients close, reset or half-close while their calls are in hand
+	ClientsDawdle Kind = "dawdle" // requests come in pieces, some never whole
+	ClientsFlood  Kind = "flood"  // connections that say nothing, more than there are places
+	ClientsRetry  Kind = "retry"  // refused calls come again at once, on new connections
+	ClientsBrief  Kind = "brief"  // clients have very little time
+
+	PeersDeaf  Kind = "deaf"  // no datagrams come
+	PeersTwice Kind = "twins" // datagrams come twice and late
+
+	ClockStep     Kind = "clock"   // the wall clock of some processes steps
+	AcceptFails   Kind = "accept"  // accepts fail
+	ConnectFails  Kind = "connect" // connects fail for want of this machine's
+	TransferFails Kind = "io"      // reads and writes are short or interrupted
+	DiskFails     Kind = "disk"    // writes of files fail, or end in the middle
+)
+
+// Kinds lists them all.
+func Kinds() []Kind {
+	return []Kind{Terminate, Crash, Pause, Reload, ReloadBad, ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow, ExecutorDrain,
+		ExecutorRenew, IdleClosed, AnswerTwice, AnswerPieces, AnswerCut, ExecutorErrors, DiscoverySilent, DiscoveryReset, DiscoverySlow,
+		DiscoveryOver, ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief, PeersDeaf, PeersTwice, ClockStep,
+		AcceptFails, ConnectFails, TransferFails, DiskFails}
+}
+
+// Trouble is one trouble of a schedule. Times count from when the clients begin.
+type Trouble struct {
+	Kind    Kind          `json:"kind"`
+	At      time.Duration `json:"at"`
+	For     time.Duration `json:"for"`
+	Targets []int         `json:"targets"` // dispatchers or executors, by the kind
+	Amount  float64       `json:"amount"`  // by the kind: 0 to 1
+}
+
+func (t Trouble) String() string {
+	return fmt.Sprintf("%s at %v for %v on %v (%.2f)", t.Kind, t.At, t.For, t.Targets, t.Amount)
+}
+
+// Schedule is a whole run.
+type Schedule struct {
+	Seed       uint64        `json:"seed"`
+	Processes  int           `json:"processes"`
+	Executors  int           `json:"executors"`
+	Deployment string        `json:"deployment"` // planning or render
+	Kept       bool          `json:"kept"`       // dispatchers keep the list on disk
+	Trouble    time.Duration `json:"trouble"`    // for so long troubles go on
+	Calm       time.Duration `json:"calm"`       // and then none
+	Troubles   []Trouble     `json:"troubles"`
+}
+
+// Figures of a run.
+const (
+	firstTrouble  = 400 * time.Millisecond
+	troubleTime   = 3200 * time.Millisecond
+	calmTime      = 2500 * time.Millisecond
+	shortest      = 300 * time.Millisecond
+	longest       = 1800 * time.Millisecond
+	executorsPart = 1.2 // executors for each process
+)
+
+// Deployments that runs are drawn for.
+const (
+	Planning = "planning"
+	Render   = "render"
+)
+
+// Draw makes the schedule of a seed: waves of two or three troubles that overlap. only restricts the kinds; empty: all.
+func Draw(seed uint64, processes int, only []Kind) Schedule {
+	rng := rand.New(rand.NewPCG(seed, 0x736f616b))
+	s := Schedule{Seed: seed, Processes: processes, Executors: max(6, int(executorsPart*float64(processes))), Deployment: Planning,
+		Kept: rng.IntN(2) == 0, Trouble: troubleTime, Calm: calmTime}
+	if seed%2 == 1 {
+		s.Deployment = Render
+	}
+	kinds := only
+	if len(kinds) == 0 {
+		kinds = Kinds()
+	}
+	for at := firstTrouble; at < troubleTime-shortest; at += shortest + longest/2 {
+		wave := slices.Clone(kinds)
+		rng.Shuffle(len(wave), func(i, j int) { wave[i], wave[j] = wave[j], wave[i] })
+		for _, kind := range wave[:min(len(wave), 2+rng.IntN(2))] {
+			s.Troubles = append(s.Troubles, draw(rng, s, kind, at))
+		}
+	}
+	return s
+}
+
+// draw makes one trouble that begins about a time.
+func draw(rng *rand.Rand, s Schedule, kind Kind, at time.Duration) Trouble {
+	begin := at + time.Duration(rng.Int64N(int64(shortest)))
+	t := Trouble{Kind: kind, At: begin, For: shortest + time.Duration(rng.Int64N(int64(longest-shortest))), Amount: rng.Float64()}
+	t.For = min(t.For, s.Trouble-t.At)
+	all, most := s.Processes, 3
+	if kind.ofExecutors() {
+		all, most = s.Executors, 4
+	}
+	switch kind {
+	case ClientsLeave, ClientsDawdle, ClientsRetry, ClientsBrief, DiscoveryOver:
+		most = all // all dispatchers have such clients
+		t.Targets = rng.Perm(all)
+	case Reload, ReloadBad, DiscoverySilent, DiscoveryReset, DiscoverySlow, PeersDeaf, PeersTwice, IdleClosed:
+		most = all
+	}
+	if t.Targets == nil {
+		t.Targets = rng.Perm(all)[:1+rng.IntN(min(most, all))]
+	}
+	slices.Sort(t.Targets)
+	return t
+}
+
+func (k Kind) ofExecutors() bool {
+	switch k {
+	case ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow, ExecutorDrain, ExecutorRenew, IdleClosed, AnswerTwice, AnswerPieces,
+		AnswerCut, ExecutorErrors:
+		return true
+	}
+	return false
+}
+
+// ParseKinds reads kinds parted by commas; an unknown one is answered with those known.
+func ParseKinds(text string) ([]Kind, error) {
+	var out []Kind
+	for _, name := range strings.Split(text, ",") {
+		name = strings.TrimSpace(name)
+		if name == "" {
+			continue
+		}
+		if !slices.Contains(Kinds(), Kind(name)) {
+			return nil, fmt.Errorf("trouble %q is not known; known are %v", name, Kinds())
+		}
+		out = append(out, Kind(name))
+	}
+	return out, nil
+}
+
+// Pairs are the pairs of kinds that overlap in time, each named once, in order.
+func (s Schedule) Pairs() []string {
+	var out []string
+	for i, a := range s.Troubles {
+		for _, b := range s.Troubles[i+1:] {
+			if a.Kind == b.Kind || a.At+a.For < b.At || b.At+b.For < a.At {
+				continue
+			}
+			first, second := a.Kind, b.Kind
+			if cmp.Compare(first, second) > 0 {
+				first, second = second, first
+			}
+			if name := string(first + "+" + second); !slices.Contains(out, name) {
+				out = append(out, name)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Shorten leaves out troubles, and then halves how long they last, as long as the run still fails.
+func (s Schedule) Shorten(fails func(Schedule) bool) Schedule {
+	for i := 0; i < len(s.Troubles); {
+		less := s
+		less.Troubles = slices.Delete(slices.Clone(s.Troubles), i, i+1)
+		if fails(less) {
+			s = less
+		} else {
+			i++
+		}
+	}
+	for i := range s.Troubles {
+		less := s
+		less.Troubles = slices.Clone(s.Troubles)
+		less.Troubles[i].For /= 2
+		if less.Troubles[i].For >= shortest/4 && fails(less) {
+			s = less
+		}
+	}
+	return s
+}
+
+// Write keeps a schedule in a file; ReadSchedule reads one.
+func (s Schedule) Write(path string) error {
+	raw, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o600)
+}
+
+// ReadSchedule reads a schedule from a file.
+func ReadSchedule(path string) (s Schedule, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return s, fmt.Errorf("schedule: %w", err)
+	}
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return s, fmt.Errorf("schedule %s: %w", path, err)
+	}
+	if s.Processes < 1 || s.Executors < 1 || s.Trouble <= 0 {
+		return s, fmt.Errorf("schedule %s: processes, executors and trouble must be above 0", path)
+	}
+	for _, t := range s.Troubles {
+		if !slices.Contains(Kinds(), t.Kind) {
+			return s, fmt.Errorf("schedule %s: trouble %q is not known", path, t.Kind)
+		}
+		all := s.Processes
+		if t.Kind.ofExecutors() {
+			all = s.Executors
+		}
+		for _, target := range t.Targets {
+			if target < 0 || target >= all {
+				return s, fmt.Errorf("schedule %s: %s has no target %d", path, t.Kind, target)
+			}
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,494 @@
+package soak
+
+// This file owns the world of one run: processes, executors, discovery, clients and the ways between them, and how each
+// trouble is brought about and ended.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"oakthread/internal/fault"
+	"oakthread/internal/fault/sockets"
+	"oakthread/internal/lab"
+)
+
+// Figures of the world.
+const (
+	callRate     = 14.0 // calls a second at each dispatcher
+	nodeSockets  = 256
+	floodConns   = 160 // more than a dispatcher with so many sockets holds of clients
+	startTime    = 900 * time.Millisecond
+	startEach    = 35 * time.Millisecond // and for each process
+	readyTime    = 20 * time.Second
+	calmLead     = 1500 * time.Millisecond // of the calm end, until calls must be served
+	reloadEvery  = 350 * time.Millisecond
+	reloadStands = 60 * time.Millisecond
+	diskRoom     = 24 << 10 // bytes of a file, up to which writes may go through while the disk fails
+)
+
+// figures are the classes and executors of a deployment.
+func figures(deployment string) *lab.Figures {
+	f := lab.PlannerFigures()
+	for i := range f.Classes {
+		f.Classes[i].GiveUp = 2 * time.Second
+	}
+	f.Load = 60 * time.Millisecond
+	if deployment == Render {
+		f.Classes = []lab.ClassFigures{
+			{Name: "preview", Share: 0.6, Aim: 300 * time.Millisecond, GiveUp: 1500 * time.Millisecond, Worth: 1, Work: 25 * time.Millisecond},
+			{Name: "final", Share: 0.4, Aim: 900 * time.Millisecond, GiveUp: 2500 * time.Millisecond, Worth: 4, Work: 40 * time.Millisecond, Once: true},
+		}
+		f.Load = 110 * time.Millisecond
+	}
+	return f
+}
+
+// permissions are what a deployment allows.
+func permissions(deployment string, settings map[string]any) {
+	if deployment != Render {
+		return
+	}
+	p := settings["permissions"].(map[string]any)
+	p["second_copies"], p["cancel"], p["send_cap"], p["retry_after"] = false, false, 3, false
+}
+
+// world is a run under way.
+type world struct {
+	Schedule
+	dir       string
+	figures   *lab.Figures
+	rig       *lab.Rig
+	nodes     []*node
+	clients   []*Clients
+	executors []*executor
+	begin     time.Time
+
+	mu       sync.Mutex
+	troubled []span
+	untold   [][]span
+	drains   []Drain
+	busy     map[int]bool // executors that drain or are renewed: one at a time
+	failed   []error
+}
+
+func newWorld(s Schedule, dir string, network *lab.Net, program lab.Program) (*world, error) {
+	w := &world{Schedule: s, dir: dir, figures: figures(s.Deployment), untold: make([][]span, s.Processes), busy: map[int]bool{}}
+	size := lab.RigSize{Dispatchers: s.Processes, Boxes: s.Executors, Figures: w.figures, Seed: s.Seed, Load: lab.Load{Rate: 1, Models: 1},
+		Settings: func(_ int, settings map[string]any) { permissions(s.Deployment, settings) }}
+	if s.Kept {
+		size.Operators = "[list]\npath = \"list.db\"\n"
+	}
+	var err error
+	if w.rig, err = lab.NewRig(network, dir, size); err != nil {
+		return nil, err
+	}
+	for i, b := range w.rig.Boxes {
+		e := newExecutor(i, s.Seed)
+		b.Around(e.around)
+		w.executors = append(w.executors, e)
+	}
+	w.begin = time.Now().Add(startTime + time.Duration(s.Processes)*startEach)
+	for i, d := range w.rig.Nodes {
+		n := &node{Dispatcher: d, program: program}
+		if err := n.set(func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = nodeSockets }); err != nil {
+			return nil, err
+		}
+		plan := filepath.Join(d.Dir, "faults.json")
+		if err := w.plan(i).Write(plan); err != nil {
+			return nil, err
+		}
+		n.Args = append(n.Args, "--faults", plan)
+		w.nodes = append(w.nodes, n)
+		w.clients = append(w.clients, newClients(i, d.Addr, w.figures, callRate, s.Seed))
+	}
+	return w, nil
+}
+
+// plan is what a node does to itself.
+func (w *world) plan(node int) *fault.Plan {
+	p := &fault.Plan{Seed: w.Seed + uint64(node)}
+	for _, t := range w.Troubles {
+		for _, target := range t.Targets {
+			if t.Kind.ofExecutors() || target != node {
+				continue
+			}
+			from, until := w.begin.Add(t.At), w.begin.Add(t.At+t.For)
+			switch t.Kind {
+			case ClockStep:
+				p.Steps = append(p.Steps, fault.Step{At: from, Offset: stepOf(t.Amount)}, fault.Step{At: until})
+			case AcceptFails:
+				p.Sockets = append(p.Sockets, sockets.Window{From: from, Until: until, Rates: sockets.Rates{Accept: 0.2 + 0.6*t.Amount}})
+			case ConnectFails:
+				p.Sockets = append(p.Sockets, sockets.Window{From: from, Until: until, Rates: sockets.Rates{Connect: 0.2 + 0.6*t.Amount}})
+			case TransferFails:
+				p.Sockets = append(p.Sockets, sockets.Window{From: from, Until: until, Rates: sockets.Rates{IO: 0.05 + 0.3*t.Amount}})
+			}
+		}
+	}
+	return p
+}
+
+// stepOf is by how much the clock steps.
+func stepOf(amount float64) time.Duration {
+	steps := [...]time.Duration{-time.Hour, time.Hour, -5 * time.Second, 5 * time.Second}
+	return steps[min(int(amount*float64(len(steps))), len(steps)-1)]
+}
+
+// start starts all processes and waits until they are ready.
+func (w *world) start(ctx context.Context) error {
+	soon, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	return each(len(w.nodes), func(i int) error {
+		if err := w.nodes[i].start(); err != nil {
+			return err
+		}
+		return w.nodes[i].awaitReady(soon)
+	})
+}
+
+// each does something for each of n at once and returns the first error.
+func each(n int, do func(i int) error) error {
+	errs := make(chan error, n)
+	for i := range n {
+		go func() { errs <- do(i) }()
+	}
+	var first error
+	for range n {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// trouble brings a trouble about for its time.
+func (w *world) trouble(ctx context.Context, t Trouble) {
+	if !wait(ctx, time.Until(w.begin.Add(t.At))) {
+		return
+	}
+	lasts, cancel := context.WithTimeout(ctx, t.For)
+	defer cancel()
+	var err error
+	switch t.Kind {
+	case Terminate, Crash, Pause, Reload, ReloadBad, DiskFails:
+		err = w.toProcesses(lasts, ctx, t)
+	case ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow:
+		err = w.toWays(lasts, t)
+	case ExecutorDrain, ExecutorRenew:
+		err = w.toExecutors(lasts, t)
+	case IdleClosed, AnswerTwice, AnswerPieces, AnswerCut, ExecutorErrors:
+		w.toAnswers(lasts, t)
+	case DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryOver:
+		err = w.toDiscovery(lasts, t)
+	case ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief:
+		w.toClients(lasts, t)
+	case PeersDeaf, PeersTwice:
+		w.toPeers(lasts, t)
+	case ClockStep, AcceptFails, ConnectFails, TransferFails: // the processes do it to themselves
+		<-lasts.Done()
+	}
+	if err != nil {
+		w.mu.Lock()
+		w.failed = append(w.failed, fmt.Errorf("%s: %w", t, err))
+		w.mu.Unlock()
+	}
+}
+
+// wait waits; false: ctx has ended before.
+func wait(ctx context.Context, long time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(long):
+		return true
+	}
+}
+
+func (w *world) toProcesses(lasts, ctx context.Context, t Trouble) error {
+	return each(len(t.Targets), func(i int) error {
+		n := w.nodes[t.Targets[i]]
+		switch t.Kind {
+		case Terminate, Crash:
+			sig := syscall.SIGTERM
+			if t.Kind == Crash {
+				sig = syscall.SIGKILL
+			}
+			soon, cancel := context.WithTimeout(ctx, readyTime)
+			defer cancel()
+			return n.restart(soon, sig, func() map[string]any { return w.rig.Disc.Known(n.N) })
+		case Pause:
+			n.pause(lasts, t.For)
+		case DiskFails:
+			return w.failDisk(lasts, n, t)
+		default:
+			return w.reloads(lasts, n, t)
+		}
+		return nil
+	})
+}
+
+// failDisk has writes of the process fail beyond a place in the file, so that one may end in the middle.
+func (w *world) failDisk(lasts context.Context, n *node, t Trouble) error {
+	n.action.Lock()
+	defer n.action.Unlock()
+	if err := n.limitFiles(int64(t.Amount * diskRoom)); err != nil {
+		return err
+	}
+	<-lasts.Done()
+	return n.limitFiles(-1)
+}
+
+// reloads has a node read one file after another.
+func (w *world) reloads(lasts context.Context, n *node, t Trouble) error {
+	for i := 0; lasts.Err() == nil; i++ {
+		raw, err := w.file(n, t, i)
+		if err != nil {
+			return err
+		}
+		n.action.Lock()
+		err = n.reload(raw)
+		if err == nil {
+			wait(lasts, reloadStands)
+			err = os.WriteFile(n.Config, n.good, 0o600)
+		}
+		n.action.Unlock()
+		if err != nil {
+			return err
+		}
+		wait(lasts, reloadEvery)
+	}
+	return nil
+}
+
+// file is a configuration for a reload: good, without its settings, or cut off.
+func (w *world) file(n *node, t Trouble, i int) ([]byte, error) {
+	if t.Kind == ReloadBad && i%2 == 0 {
+		return n.good[:int(t.Amount*float64(len(n.good)))], nil
+	}
+	var config map[string]any
+	if err := json.Unmarshal(n.good, &config); err != nil {
+		return nil, err
+	}
+	if t.Kind == ReloadBad {
+		delete(config, "settings")
+	} else {
+		config["settings"].(map[string]any)["permissions"].(map[string]any)["send_cap"] = 3 + i%3
+	}
+	return json.Marshal(config)
+}
+
+// toWays changes the ways between all dispatchers and some executors.
+func (w *world) toWays(lasts context.Context, t Trouble) error {
+	what, delay := map[Kind]lab.Fault{ExecutorHang: lab.Freeze, ExecutorVanish: lab.Cut, ExecutorReset: lab.Reset, ExecutorSlow: lab.Open}[t.Kind], time.Duration(0)
+	if t.Kind == ExecutorSlow {
+		delay = time.Duration(t.Amount * float64(150*time.Millisecond))
+	}
+	if t.Kind == ExecutorReset { // for a moment, so that open connections are reset and new ones come up
+		var cancel context.CancelFunc
+		lasts, cancel = context.WithTimeout(lasts, 30*time.Millisecond)
+		defer cancel()
+	}
+	pick := func(_, executor int) bool { return contains(t.Targets, executor) }
+	at := w.disturb(&w.troubled)
+	if err := w.rig.Ways.Between(what, delay, pick); err != nil {
+		return err
+	}
+	<-lasts.Done()
+	err := w.rig.Ways.Between(lab.Open, 0, pick)
+	w.calm(&w.troubled, at)
+	return err
+}
+
+func contains(targets []int, n int) bool {
+	for _, t := range targets {
+		if t == n {
+			return true
+		}
+	}
+	return false
+}
+
+// disturb notes that something begins to be not as it should; calm ends it.
+func (w *world) disturb(list *[]span) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*list = append(*list, span{from: time.Now()})
+	return len(*list) - 1
+}
+
+func (w *world) calm(list *[]span, at int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	(*list)[at].until = time.Now().Add(wayTail)
+}
+
+// wayTail is for what was on a way when it was opened again.
+const wayTail = 100 * time.Millisecond
+
+// toExecutors has executors drain and others come, cold.
+func (w *world) toExecutors(lasts context.Context, t Trouble) error {
+	var mine []int
+	w.mu.Lock()
+	for _, e := range t.Targets {
+		if !w.busy[e] {
+			w.busy[e] = true
+			mine = append(mine, e)
+		}
+	}
+	pick := func(box int) bool { return contains(mine, box) }
+	if t.Kind == ExecutorDrain {
+		w.rig.Drain(pick)
+		for _, e := range mine {
+			w.drains = append(w.drains, Drain{e, span{from: time.Now()}})
+		}
+	}
+	w.mu.Unlock()
+	if t.Kind == ExecutorDrain {
+		<-lasts.Done()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.drains {
+		if pick(w.drains[i].Executor) && w.drains[i].until.IsZero() {
+			w.drains[i].until = time.Now()
+		}
+	}
+	for _, e := range mine {
+		delete(w.busy, e)
+		if err := w.rig.Replace(e); err != nil {
+			return err
+		}
+		w.rig.Listed[e].Phase = lab.Ready
+		w.rig.Boxes[e].Around(w.executors[e].around)
+	}
+	w.rig.Told(pick)
+	return nil
+}
+
+// toAnswers has executors spoil a share of their answers.
+func (w *world) toAnswers(lasts context.Context, t Trouble) {
+	set := func(share float64) {
+		for _, e := range t.Targets {
+			if t.Kind != ExecutorErrors {
+				w.executors[e].set(t.Kind, share)
+				continue
+			}
+			w.mu.Lock()
+			w.rig.Boxes[e].Fail(share)
+			w.mu.Unlock()
+		}
+	}
+	set(0.1 + 0.5*t.Amount)
+	<-lasts.Done()
+	set(0)
+}
+
+func (w *world) toDiscovery(lasts context.Context, t Trouble) error {
+	if t.Kind == DiscoveryOver {
+		w.mu.Lock()
+		w.rig.Told(func(int) bool { return true })
+		w.mu.Unlock()
+		return nil
+	}
+	what, delay := map[Kind]lab.Fault{DiscoverySilent: lab.Freeze, DiscoveryReset: lab.Reset, DiscoverySlow: lab.Open}[t.Kind], time.Duration(0)
+	if t.Kind == DiscoverySlow {
+		delay = time.Duration(t.Amount * float64(time.Second))
+	}
+	marks := make([]int, len(t.Targets))
+	for i, n := range t.Targets {
+		marks[i] = w.disturb(&w.untold[n])
+		if err := w.rig.Ways.Channels[n].Set(what, delay); err != nil {
+			return err
+		}
+	}
+	<-lasts.Done()
+	for i, n := range t.Targets {
+		if err := w.rig.Ways.Channels[n].Set(lab.Open, 0); err != nil {
+			return err
+		}
+		w.calm(&w.untold[n], marks[i])
+	}
+	return nil
+}
+
+func (w *world) toClients(lasts context.Context, t Trouble) {
+	share := 0.2 + 0.6*t.Amount
+	set := func(x float64) {
+		for _, n := range t.Targets {
+			w.clients[n].behave(func(b *behaviour) {
+				switch t.Kind {
+				case ClientsLeave:
+					b.Leave = x
+				case ClientsDawdle:
+					b.Dawdle = x
+				case ClientsRetry:
+					b.Retry = x
+				case ClientsBrief:
+					b.Brief = x
+				}
+			})
+		}
+	}
+	if t.Kind == ClientsFlood {
+		_ = each(len(t.Targets), func(i int) error { w.clients[t.Targets[i]].flood(lasts, floodConns); return nil })
+		return
+	}
+	set(share)
+	<-lasts.Done()
+	set(0)
+}
+
+func (w *world) toPeers(lasts context.Context, t Trouble) {
+	wire := lab.Lost
+	if t.Kind == PeersTwice {
+		wire = lab.Wire{Twice: 0.5, Delay: time.Duration(t.Amount * float64(400*time.Millisecond)), Jitter: 200 * time.Millisecond}
+	}
+	pick := func(_, to int) bool { return contains(t.Targets, to) }
+	w.rig.Words.Set(wire, pick)
+	<-lasts.Done()
+	w.rig.Words.Set(lab.Wire{}, pick)
+}
+
+// end sends all processes SIGTERM and waits for them; what does not end is killed.
+func (w *world) end() {
+	_ = each(len(w.nodes), func(i int) error {
+		n := w.nodes[i]
+		n.mu.Lock()
+		running := n.cmd != nil && n.lives[len(n.lives)-1].Ended.IsZero()
+		n.mu.Unlock()
+		if !running {
+			return nil
+		}
+		ended := make(chan struct{})
+		go func() { n.end(syscall.SIGTERM); close(ended) }()
+		select {
+		case <-ended:
+		case <-time.After(readyTime):
+			n.end(syscall.SIGKILL)
+		}
+		return nil
+	})
+}
+
+// close ends everything at once.
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		if n.cmd != nil && n.lives[len(n.lives)-1].Ended.IsZero() {
+			n.lives[len(n.lives)-1].Killed = time.Now()
+			_ = n.cmd.Process.Signal(syscall.SIGKILL)
+		}
+		exited := n.exited
+		n.mu.Unlock()
+		if exited != nil {
+			<-exited
+		}
+	}
+	w.rig.Close()
+}
