A request's time counts from its last byte, and nothing is written behind a second answer

Cause: the front took the moment at which its handler began for that of the request's last byte; a request may wait in the kernel's backlog for a place, or for a process that stood still. A connection to an executor was used again after 10 ms without bytes read; bytes that lay with the kernel were not asked for, and a busy process reads late.

Change: the front asks the kernel how long ago the last bytes came (TCP_INFO); a connection on which bytes lie unread carries no further request. Related paths looked at: orders and probes go the same way as calls; HTTP/2 counts from its handler, as its streams share a connection.

--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -343,6 +343,9 @@
 		time.Sleep(rest)
 		c.mu.Lock()
 	}
+	if !c.waiting && c.framer.lines > 0 && unread(c.Conn) {
+		c.tainted = true // bytes behind an answer, which this process has not come to read
+	}
 	switch rules.MayReuseWorker(c.known()) {
 	case rules.ConnectionSpent:
 		return errUnasked
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -172,7 +172,7 @@
 func (f *Front) call(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	q, status, err := f.takeIn(w, r, time.Now())
+	q, status, err := f.takeIn(w, r, cameAt(r))
 	if err != nil {
 		f.refuse(w, status, err)
 		return
@@ -196,6 +196,16 @@
 	f.count(r.Header.Get("X-Class"), reply.Status(a, err))
 }
 
+// cameAt is when the last bytes of a request came that there are by now: it may have waited with the kernel, for a place or
+// for this process. A body that is still to come makes it no later: its client's time then ends a little early.
+func cameAt(r *http.Request) time.Time {
+	now := time.Now()
+	if c := clientConnOf(r.Context()); c != nil {
+		return now.Add(-lastDataAge(c.Conn))
+	}
+	return now
+}
+
 // takeIn decodes a call into the Core's value, once.
 func (f *Front) takeIn(w http.ResponseWriter, r *http.Request, now time.Time) (q oakthread.Request, status int, err error) {
 	q, err = f.head(r.PathValue("key"), r.Header, now)
--- a/internal/platform/socketstate.go
+++ b/internal/platform/socketstate.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -14,6 +15,29 @@
 	return socketCount(c, func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCINQ) })
 }
 
+// longestAge is beyond what a request may have waited with the kernel.
+const longestAge = time.Minute
+
+// lastDataAge is how long ago the last bytes came to a socket, read or not, in whole milliseconds: while this process stood
+// still, or its accepts waited, the kernel's clock went on. 0 where the kernel does not tell (tcp(7), TCP_INFO).
+func lastDataAge(c net.Conn) time.Duration {
+	var age time.Duration
+	socketCount(c, func(fd int) (int, error) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && info.State == tcpEstablished {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+		return 0, err
+	})
+	if age > longestAge {
+		return 0
+	}
+	return age
+}
+
+// tcpEstablished is the state of an open connection in TCP_INFO.
+const tcpEstablished = 1
+
 // ready tells whether a listener has connections that nobody has taken.
 func ready(ln net.Listener) bool {
 	return socketCount(ln, func(fd int) (int, error) { return unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
