--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,9 +32,15 @@
 // stallMost is how long the laboratory may stand still before its times are worth nothing.
 const stallMost = 150 * time.Millisecond
 
+// ErrUsed says that a folder holds an earlier run.
+var ErrUsed = errors.New("soak: the folder of a run exists already")
+
 // Run plays a schedule in a folder of its own. program is what a node runs; it takes the arguments --config and --faults.
 func Run(ctx context.Context, s Schedule, dir string, program lab.Program) (Result, error) {
 	res := Result{Schedule: s, Dir: dir}
+	if _, err := os.Stat(dir); err == nil {
+		return res, fmt.Errorf("%s: %w", dir, ErrUsed) // kept lists in it would lead to another run's executors
+	}
 	network, err := lab.ClaimNet()
 	if err != nil {
 		return res, err
--- a/webhook/store.go
+++ b/webhook/store.go
@@ -77,9 +77,18 @@
 // maxTimes bounds the signatures of one message within the tolerance: a sender that signs anew more often loops.
 const maxTimes = 128
 
+// database is what the Store asks of bbolt. Tests put one in between whose disk fails.
+type database interface {
+	Update(func(*bbolt.Tx) error) error
+	Batch(func(*bbolt.Tx) error) error
+	View(func(*bbolt.Tx) error) error
+	Sync() error
+	Close() error
+}
+
 // Store is the state file. One process has it open at a time.
 type Store struct {
-	db   *bbolt.DB
+	db   database
 	most uint64
 }
 
