What the webhooks' state file owes outlives a failing disk and a stepping clock

Cause: settle was tried once; a receipt whose write failed after it had reached the file read as a run cut off; due times, the time to give up and the age of receipts followed the wall clock.

A receipt whose write failed is of a run that never began, and its message runs when it comes again; a restart in between still reads it as cut off, and it is not run. Due times are of the process's clock, and far ones are due at the start; a notice is given up by the sum of its waits. Of a message all timestamps are remembered, up to the limit.

--- a/webhook/disk_test.go
+++ b/webhook/disk_test.go
@@ -3,12 +3,11 @@
 package webhook
 
 import (
-	"fmt"
+	"encoding/binary"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -22,52 +21,6 @@
 
 // This file has the state file's disk fail and the wall clock step.
 
-// failingDisk fails writes: before anything is written, as a full disk does, or after all of it was, as a sync does that
-// the disk never confirmed.
-type failingDisk struct {
-	*bbolt.DB
-	mu     sync.Mutex
-	before int // so many writes fail so
-	after  int
-	failed int
-}
-
-func (f *failingDisk) write(do func(func(*bbolt.Tx) error) error, change func(*bbolt.Tx) error) error {
-	f.mu.Lock()
-	before, after := f.before > 0, f.before == 0 && f.after > 0
-	if before {
-		f.before--
-		f.failed++
-	} else if after {
-		f.after--
-		f.failed++
-	}
-	f.mu.Unlock()
-	if before {
-		return fmt.Errorf("write: %w", syscall.ENOSPC)
-	}
-	if err := do(change); err != nil || !after {
-		return err
-	}
-	return fmt.Errorf("sync: %w", syscall.EIO)
-}
-
-func (f *failingDisk) Update(change func(*bbolt.Tx) error) error { return f.write(f.DB.Update, change) }
-func (f *failingDisk) Batch(change func(*bbolt.Tx) error) error  { return f.write(f.DB.Batch, change) }
-
-// fail has the daemon's next writes fail.
-func (d *daemon) fail(before, after int) *failingDisk {
-	f, ok := d.store.db.(*failingDisk)
-	if !ok {
-		f = &failingDisk{DB: d.store.db.(*bbolt.DB)}
-		d.store.db = f
-	}
-	f.mu.Lock()
-	f.before, f.after = before, after
-	f.mu.Unlock()
-	return f
-}
-
 // An outcome that the disk does not take is owed: it is tried again until it is on record, its notice goes out, and meanwhile
 // the message gets the outcome from memory.
 func TestOutcomeIsOwedWhenTheDiskFails(t *testing.T) {
@@ -86,9 +39,6 @@
 	now, body := time.Now(), want("path-book", fn, "x")
 	assert.Equal(t, 200, d.deliver(signed(t, secret(1), "m", now, body), body).Code)
 	w := d.deliver(signed(t, secret(1), "m", now.Add(time.Second), body), body)
-	if w.Code == 503 { // this delivery's own receipt met the failing disk
-		w = d.deliver(signed(t, secret(1), "m", now.Add(2*time.Second), body), body)
-	}
 	assert.Equal(t, 200, w.Code)
 	assert.Equal(t, "x", w.Body.String())
 	select {
@@ -163,3 +113,27 @@
 		})
 	}
 }
+
+// Notices that are due far ahead, by a clock that stood wrong when they were put off, are due at once after a start.
+func TestNoticesDueFarAheadAreDue(t *testing.T) {
+	d := newDaemon(t, "http://127.0.0.1:1/")
+	d.stop()
+	store, err := OpenStore(d.o.State, d.o.Receipts)
+	require.NoError(t, err)
+	far := time.Now().Add(time.Hour)
+	require.NoError(t, store.db.Update(func(tx *bbolt.Tx) error {
+		return schedule(tx, &notice{ID: "msg_1", Operator: "ironbridge", Made: time.Now()}, far)
+	}))
+	require.NoError(t, store.Close())
+	store, err = OpenStore(d.o.State, d.o.Receipts)
+	require.NoError(t, err)
+	require.NoError(t, store.soon(time.Now(), time.Minute))
+	require.NoError(t, store.db.View(func(tx *bbolt.Tx) error {
+		key, _ := tx.Bucket(outbox).Cursor().First()
+		due := time.Unix(0, int64(binary.BigEndian.Uint64(key)))
+		assert.WithinDuration(t, time.Now(), due, time.Minute)
+		return nil
+	}))
+	require.NoError(t, store.Close())
+	d.start()
+}
--- a/webhook/receive.go
+++ b/webhook/receive.go
@@ -5,6 +5,7 @@
 // uncertain a second time, nor run anything before its receipt is on disk.
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -27,7 +28,9 @@
 
 	"oakthread"
 	"oakthread/decide"
+	"oakthread/internal/netfault"
 	"oakthread/internal/reply"
+	"oakthread/internal/steady"
 	"oakthread/spiffe"
 )
 
@@ -69,6 +72,14 @@
 	locks [64]sync.Mutex // by message: a receipt and its run change together
 	mu    sync.Mutex
 	runs  map[string]*run
+	// unbegun are the calls of receipts whose write failed, by message: where the file has one all the same, its run never
+	// began.
+	unbegun map[string]string
+
+	closing    chan struct{} // closed by Close
+	closeOnce  sync.Once
+	unrecorded atomic.Int64 // writes of outcomes that failed; each is tried again
+	logLimit   netfault.LogLimit
 
 	taken, recorded, joined, unsigned, replayed, altered, denied, malformed, full atomic.Int64
 }
@@ -77,6 +88,7 @@
 	done   chan struct{}
 	answer oakthread.Answer
 	err    error
+	sum    []byte // of the message's body
 }
 
 const (
@@ -90,7 +102,7 @@
 // NewReceiver makes the front. Without a store it refuses every class that must not run twice.
 func NewReceiver(core Doer, o *Options, ring *Ring, store *Store, notices *Sender, classes []Class, tenants []string, log *slog.Logger) (*Receiver, error) {
 	rc := &Receiver{core: core, ring: ring, store: store, classes: classes, allowed: map[string]int{},
-		tenants: map[string]int{}, keep: o.Keep.Duration, notices: notices, log: log, runs: map[string]*run{}, slowest: bodyTime}
+		tenants: map[string]int{}, keep: o.Keep.Duration, notices: notices, log: log, runs: map[string]*run{}, unbegun: map[string]string{}, closing: make(chan struct{}), slowest: bodyTime}
 	rc.ctx, rc.cancel = context.WithCancel(context.Background())
 	for i, c := range classes {
 		if len(o.Classes) == 0 {
@@ -142,6 +154,7 @@
 
 // Close waits for the calls under way: each has its own end.
 func (rc *Receiver) Close() {
+	rc.closeOnce.Do(func() { close(rc.closing) })
 	rc.work.Wait()
 	rc.cancel()
 }
@@ -274,7 +287,7 @@
 	sum := sha256.Sum256(m.body)
 	class := rc.classes[q.Class]
 	key := m.op.Name + "\x00" + m.id
-	fresh := receipt{Sum: sum[:], Call: q.ID, Class: class.Name, Key: q.Key, Expires: time.Now().Add(rc.keep)}
+	fresh := receipt{Sum: sum[:], Call: q.ID, Class: class.Name, Key: q.Key, Expires: steady.Now().Add(rc.keep)}
 	// A refusal had no effect, so the message may be run when it comes again; so may a failed call that is safe
 	// to repeat. Everything else stands as recorded.
 	again := func(r receipt) bool {
@@ -283,15 +296,27 @@
 	// The lock holds from before the receipt shows a run until the run can be found, so that a second delivery
 	// meets either none or both.
 	defer rc.lock(key)()
-	r, start, err := rc.store.take(m.op.Name, m.id, m.at, fresh, again)
+	rc.mu.Lock()
+	unbegun := rc.unbegun[key]
+	rc.mu.Unlock()
+	r, start, err := rc.store.take(m.op.Name, m.id, m.at, fresh, unbegun, again)
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
 	if err != nil {
+		if errors.Is(err, errReplay) || errors.Is(err, errOther) || errors.Is(err, errFull) {
+			return nil, false, err
+		}
+		if k = rc.runs[key]; k != nil && bytes.Equal(k.sum, sum[:]) { // the disk fails, and memory knows
+			rc.joined.Add(1)
+			return k, false, nil
+		}
+		rc.unbegun[key] = fresh.Call
 		return nil, false, err
 	}
-	rc.mu.Lock()
-	defer rc.mu.Unlock()
+	delete(rc.unbegun, key)
 	if start {
 		rc.taken.Add(1)
-		k = &run{done: make(chan struct{})}
+		k = &run{done: make(chan struct{}), sum: sum[:]}
 		rc.runs[key] = k
 		rc.work.Add(1)
 		go rc.run(m, q, key, k)
@@ -331,17 +356,47 @@
 	}
 	n := rc.notices.notice(m.op.Name, settled{Call: q.ID, Message: m.id, Class: rc.classes[q.Class].Name,
 		Function: q.Key, Outcome: word(k.answer.Outcome), Reason: reason(k.answer.Outcome, false)}, time.Now())
-	unlock := rc.lock(key)
-	if err := rc.store.settle(m.op.Name, m.id, k.answer, n); err != nil {
-		// The receipt still says that it runs: after a restart that reads as failed, and it is not run again.
-		rc.log.Error("webhook outcome not recorded", "call", q.ID, "err", err)
+	rc.record(m, q, key, k, n)
+}
+
+// record writes the outcome of a run and its notice. Where the disk fails, the sender gets its answer now, later deliveries
+// get it from memory, and the record is tried again until it stands: it is owed. At the end it is tried for a while.
+func (rc *Receiver) record(m message, q oakthread.Request, key string, k *run, n *notice) {
+	var backoff netfault.Backoff
+	var once sync.Once
+	var ending time.Time // when the last try is made; zero: not at the end
+	for {
+		unlock := rc.lock(key)
+		err := rc.store.settle(m.op.Name, m.id, k.answer, n)
+		if err == nil || !ending.IsZero() && time.Now().After(ending) {
+			rc.mu.Lock()
+			delete(rc.runs, key)
+			rc.mu.Unlock()
+		}
+		unlock()
+		once.Do(func() { close(k.done) })
+		if err == nil {
+			rc.notices.wake()
+			return
+		}
+		if !ending.IsZero() && time.Now().After(ending) {
+			// The receipt still says that it runs: after a restart that reads as failed, and it is not run again.
+			rc.log.Error("webhook outcome not recorded, lost at the end", "call", q.ID, "err", err)
+			return
+		}
+		rc.unrecorded.Add(1)
+		if suppressed, ok := rc.logLimit.Allow(time.Now()); ok {
+			rc.log.Error("webhook outcome not recorded, trying again", "call", q.ID, "err", err, "suppressed", suppressed)
+		}
+		select {
+		case <-rc.closing:
+			if ending.IsZero() {
+				ending = time.Now().Add(lastWait)
+			}
+			time.Sleep(backoff.Next())
+		case <-time.After(backoff.Next()):
+		}
 	}
-	rc.mu.Lock()
-	delete(rc.runs, key)
-	rc.mu.Unlock()
-	unlock()
-	rc.notices.wake()
-	close(k.done)
 }
 
 // turnAway answers a message that was not run.
@@ -369,8 +424,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticks:
-			if n, err := rc.store.prune(now, rc.keep); err != nil {
+		case <-ticks:
+			if n, err := rc.store.prune(steady.Now(), rc.keep); err != nil {
 				rc.log.Error("webhook receipts not pruned", "err", err)
 			} else if n > 0 {
 				rc.log.Info("webhook receipts pruned", "count", n)
--- a/webhook/send.go
+++ b/webhook/send.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"oakthread"
+	"oakthread/internal/netfault"
+	"oakthread/internal/steady"
 )
 
 const (
@@ -73,6 +75,11 @@
 
 // NewSender makes a Sender. transport, if given, makes what leads to an operator's system.
 func NewSender(o *Options, ring *Ring, store *Store, classes []Class, tenants []string, transport func(Operator) http.RoundTripper, log *slog.Logger) (*Sender, error) {
+	if store != nil {
+		if err := store.soon(steady.Now(), max(o.RetryMax.Duration, o.Retry.Duration)); err != nil {
+			return nil, fmt.Errorf("webhooks: state file: %w", err)
+		}
+	}
 	s := &Sender{ring: ring, store: store, classes: classes, tell: map[string]bool{}, byPlace: map[int]string{}, o: o,
 		log: log, bell: make(chan struct{}, 1)}
 	s.clients = map[string]*http.Client{}
@@ -119,7 +126,7 @@
 		s.log.Error("notice not made", "call", d.Call, "err", err)
 		return nil
 	}
-	return &notice{ID: "msg_" + d.Call, Operator: operator, Body: body, Made: now}
+	return &notice{ID: "msg_" + d.Call, Operator: operator, Body: body, Made: steady.Now()}
 }
 
 // Settled takes a settlement from the Core, in its loop: it only queues. Calls that a webhook asked for have a
@@ -185,7 +192,7 @@
 		if err := s.Flush(); err != nil {
 			s.log.Error("notices not written, trying again", "err", err)
 		}
-		ns, next, err := s.store.due(time.Now(), func(n *notice) bool {
+		ns, next, err := s.store.due(steady.Now(), func(n *notice) bool {
 			if busy[n.ID] || len(busy) >= deliverers || byOp[n.Operator] >= perOperator {
 				return false
 			}
@@ -196,7 +203,7 @@
 		if err != nil {
 			s.log.Error("notices not read", "err", err)
 		} else if !next.IsZero() {
-			wait = min(wait, time.Until(next))
+			wait = min(wait, next.Sub(steady.Now().Round(0)))
 		}
 		for _, n := range ns {
 			go func() {
@@ -217,8 +224,22 @@
 	for range busy {
 		<-ends
 	}
-	if err := s.Flush(); err != nil {
-		s.log.Error("notices not written", "err", err)
+	s.flushAtEnd()
+}
+
+// flushAtEnd writes what is left in hand; a disk that fails is tried again for a while.
+func (s *Sender) flushAtEnd() {
+	var backoff netfault.Backoff
+	for until := time.Now().Add(lastWait); ; {
+		err := s.Flush()
+		if err == nil {
+			return
+		}
+		if time.Now().After(until) {
+			s.log.Error("notices not written, lost at the end", "err", err)
+			return
+		}
+		time.Sleep(backoff.Next())
 	}
 }
 
@@ -231,12 +252,14 @@
 		return // it stays queued as it is
 	case err == nil && status/100 == 2:
 		err = s.store.delivered(n.ID)
-	case status == http.StatusGone || time.Since(n.Made) > s.o.GiveUp.Duration:
+	case status == http.StatusGone || n.Waited > s.o.GiveUp.Duration:
 		s.log.Error("notice given up", "id", n.ID, "operator", n.Operator, "tries", n.Tries, "status", status, "err", err)
 		err = s.store.putAside(n)
 	default:
 		s.log.Warn("notice not delivered", "id", n.ID, "operator", n.Operator, "tries", n.Tries, "status", status, "err", err)
-		err = s.store.later(n, time.Now().Add(max(wait, s.backoff(n.Tries))))
+		wait = max(wait, s.backoff(n.Tries))
+		n.Waited += wait
+		err = s.store.later(n, steady.Now().Add(wait))
 	}
 	if err != nil {
 		s.log.Error("notice not booked, it will be delivered again", "id", n.ID, "err", err)
--- a/webhook/store.go
+++ b/webhook/store.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -57,6 +58,8 @@
 	Body     []byte    `json:"body"`
 	Made     time.Time `json:"made"`
 	Tries    int       `json:"tries"`
+	// Waited is the sum of the waits between tries, which no step of the clock and no time without a process adds to.
+	Waited time.Duration `json:"waited,omitempty"`
 }
 
 var (
@@ -149,8 +152,9 @@
 	return n, b.Put(countKey, binary.BigEndian.AppendUint64(nil, n))
 }
 
-// take writes a message's receipt ahead of its run. run: it is to be run under r.Call; else r says what is known.
-func (s *Store) take(op, id string, at time.Time, fresh receipt, again func(receipt) bool) (r receipt, run bool, err error) {
+// take writes a message's receipt ahead of its run. run: it is to be run under r.Call; else r says what is known. unbegun
+// names the call of a receipt whose write failed: where the file has it all the same, its run never began.
+func (s *Store) take(op, id string, at time.Time, fresh receipt, unbegun string, again func(receipt) bool) (r receipt, run bool, err error) {
 	err = s.db.Batch(func(tx *bbolt.Tx) error {
 		r, run = receipt{}, false
 		b, key := tx.Bucket(receipts), receiptKey(op, id)
@@ -158,13 +162,16 @@
 		if err != nil {
 			return err
 		}
-		if !known {
-			n, err := s.count(tx, 1)
-			if err != nil {
-				return err
-			}
-			if n > s.most {
-				return errFull
+		void := known && r.Status == running && unbegun != "" && r.Call == unbegun
+		if !known || void {
+			if !void {
+				n, err := s.count(tx, 1)
+				if err != nil {
+					return err
+				}
+				if n > s.most {
+					return errFull
+				}
 			}
 			r, run = fresh, true
 			r.Times, r.Status = []int64{at.Unix()}, running
@@ -173,19 +180,13 @@
 		if !bytes.Equal(r.Sum, fresh.Sum) {
 			return errOther
 		}
-		keep := r.Times[:0:0]
-		for _, t := range r.Times {
-			if t == at.Unix() {
-				return errReplay
-			}
-			if time.Since(time.Unix(t, 0)) < 2*Tolerance { // an older one is refused as stale
-				keep = append(keep, t)
-			}
+		if slices.Contains(r.Times, at.Unix()) {
+			return errReplay
 		}
-		if len(keep) >= maxTimes {
+		if r.Times = recent(r.Times); len(r.Times) >= maxTimes {
 			return errFull
 		}
-		r.Times, r.Expires = append(keep, at.Unix()), fresh.Expires
+		r.Times, r.Expires = append(r.Times, at.Unix()), fresh.Expires
 		if r.Status != running && again(r) {
 			r.Call, r.Status, run = fresh.Call, running, true
 		}
@@ -194,6 +195,15 @@
 	return r, run, err
 }
 
+// recent are the timestamps that are remembered of a message: all, up to the limit; of more than that, those not refused as
+// stale anyway, by the wall clock as it stands.
+func recent(times []int64) []int64 {
+	if len(times) < maxTimes {
+		return times
+	}
+	return slices.DeleteFunc(times, func(t int64) bool { return time.Since(time.Unix(t, 0)) >= 2*Tolerance })
+}
+
 // settle records the outcome of a run and, in the same step, the notice that tells of it.
 func (s *Store) settle(op, id string, a oakthread.Answer, n *notice) error {
 	return s.db.Batch(func(tx *bbolt.Tx) error {
@@ -319,7 +329,7 @@
 			if err := json.Unmarshal(v, n); err != nil {
 				return err
 			}
-			if due := time.Unix(0, int64(binary.BigEndian.Uint64(k))); due.After(now) {
+			if due := dueOf(k); due.After(now) {
 				next = due
 				return nil
 			}
@@ -363,3 +373,30 @@
 	})
 	return open, given, err
 }
+
+// soon has notices that are due later than within be due now: they were put off by a clock that stood ahead.
+func (s *Store) soon(now time.Time, within time.Duration) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		var far []*notice
+		c := tx.Bucket(outbox).Cursor()
+		for k, v := c.Last(); k != nil && dueOf(k).Sub(now) > within; k, v = c.Prev() {
+			n := &notice{}
+			if err := json.Unmarshal(v, n); err != nil {
+				return err
+			}
+			far = append(far, n)
+		}
+		for _, n := range far {
+			if err := unschedule(tx, n.ID); err != nil {
+				return err
+			}
+			if err := schedule(tx, n, now); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// dueOf is when the notice of a key in the outbox is due.
+func dueOf(key []byte) time.Time { return time.Unix(0, int64(binary.BigEndian.Uint64(key))) }
--- a/webhook/webhook_test.go
+++ b/webhook/webhook_test.go
@@ -21,6 +21,7 @@
 	standardwebhooks "github.com/standard-webhooks/standard-webhooks/libraries/go"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.etcd.io/bbolt"
 
 	"oakthread"
 	"oakthread/decide"
@@ -62,6 +63,7 @@
 	core   *booker
 	ring   *Ring
 	store  *Store
+	disk   *failingDisk
 	sender *Sender
 	rc     *Receiver
 	stop   func()
@@ -91,6 +93,8 @@
 	require.NoError(d.t, err)
 	d.store, err = OpenStore(d.o.State, d.o.Receipts)
 	require.NoError(d.t, err)
+	d.disk = &failingDisk{DB: d.store.db.(*bbolt.DB)}
+	d.store.db = d.disk
 	d.sender, err = NewSender(d.o, d.ring, d.store, classes, tenants, nil, quiet)
 	require.NoError(d.t, err)
 	d.rc, err = NewReceiver(d.core, d.o, d.ring, d.store, d.sender, classes, tenants, quiet)
