Nothing is written for a client whose leaving only the kernel knows of

Cause: a client's leaving was seen by reading up to its end. A request that waited in the backlog, or for a process that stood still, was sent on before anybody read that far; and of a connection that was half-closed by then the front took the time of its last bytes to be now.

Change: a Request may say whether its caller has left; the front's asks the kernel for the connection's state (TCP_INFO), and core asks it right before the first byte of each attempt, in the one place that asks the rule. The age of the last bytes is taken in every state.

--- a/core.go
+++ b/core.go
@@ -110,6 +110,7 @@
 type flight struct {
 	worker decide.WorkerID
 	caller context.Context
+	left   func() bool // nil: only the context tells
 	off    context.CancelCauseFunc
 
 	mu             sync.Mutex
@@ -121,10 +122,13 @@
 func (f *flight) begin() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.begun = rules.MayWrite(rules.Write{CallerLeft: f.caller.Err() != nil, Revoked: f.revoked}).OK()
+	f.begun = rules.MayWrite(rules.Write{CallerLeft: f.callerLeft(), Revoked: f.revoked}).OK()
 	return f.begun
 }
 
+// callerLeft tells whether the caller has left: its context says so, or its connection.
+func (f *flight) callerLeft() bool { return f.caller.Err() != nil || f.left != nil && f.left() }
+
 // revoke has a flight begin no more, and ends it where it has not begun.
 func (f *flight) revoke() {
 	f.mu.Lock()
@@ -374,7 +378,7 @@
 	key := flightKey{k.req.ID, k.tries}
 	ctx, off := context.WithCancelCause(c.ctx)
 	ctx, done := context.WithDeadline(ctx, until)
-	f := &flight{worker: m.ID, caller: k.ctx, off: off}
+	f := &flight{worker: m.ID, caller: k.ctx, left: k.req.Left, off: off}
 	a := Attempt{Request: &k.req, Worker: m, N: k.tries, Until: until, Begin: f.begin}
 	c.flights[key] = f
 	k.tries++
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -190,6 +190,9 @@
 	for end, old := steady.Nanos(q.Deadline), f.latest.Load(); end > old && !f.latest.CompareAndSwap(old, end); {
 		old = f.latest.Load()
 	}
+	if c := clientConnOf(r.Context()); c != nil {
+		q.Left = func() bool { return hasLeft(c.Conn) }
+	}
 	a, err := f.core.Do(r.Context(), q)
 	f.closeAfter(w, r)
 	f.relay(w, a, err)
--- a/internal/platform/socketstate.go
+++ b/internal/platform/socketstate.go
@@ -21,22 +21,35 @@
 // lastDataAge is how long ago the last bytes came to a socket, read or not, in whole milliseconds: while this process stood
 // still, or its accepts waited, the kernel's clock went on. 0 where the kernel does not tell (tcp(7), TCP_INFO).
 func lastDataAge(c net.Conn) time.Duration {
-	var age time.Duration
-	socketCount(c, func(fd int) (int, error) {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil && info.State == tcpEstablished {
-			age = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-		return 0, err
-	})
+	info := tcpInfo(c)
+	if info == nil {
+		return 0
+	}
+	age := time.Duration(info.Last_data_recv) * time.Millisecond
 	if age > longestAge {
 		return 0
 	}
 	return age
 }
 
-// tcpEstablished is the state of an open connection in TCP_INFO.
-const tcpEstablished = 1
+// hasLeft tells whether the other side has closed its connection, or its sending side, or reset it, whether or not this
+// process has read up to there; no where the kernel does not tell.
+func hasLeft(c net.Conn) bool {
+	info := tcpInfo(c)
+	return info != nil && info.State != unix.BPF_TCP_ESTABLISHED
+}
+
+// tcpInfo is what the kernel knows of a connection; nil: nothing.
+func tcpInfo(c net.Conn) (info *unix.TCPInfo) {
+	socketCount(c, func(fd int) (int, error) {
+		known, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && known.State != 0 {
+			info = known
+		}
+		return 0, err
+	})
+	return info
+}
 
 // ready tells whether a listener has connections that nobody has taken.
 func ready(ln net.Listener) bool {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -204,6 +204,9 @@
 // arrivals looks at when a call came to executors and what they were told.
 func (j *judge) arrivals(q *Request) {
 	for _, a := range j.arrived[q.ID] {
+		if q.End == Overdue {
+			q.LeftAt = q.Ended // its client closed the connection then
+		}
 		if late := a.At.Sub(q.LeftAt); !q.LeftAt.IsZero() && late > leftSlack && !j.disturbed(q.Node, a.Executor, q.LeftAt, a.At) {
 			j.broken(RuleLeft, q.Node, q.ID, "came to executor %d %v after its client had left", a.Executor, late.Round(time.Millisecond))
 		}
--- a/oakthread.go
+++ b/oakthread.go
@@ -29,7 +29,10 @@
 	Repeat   bool // the caller says that it asked before
 	// IdempotencyKey is the same for all tries of one call; workers that are given it drop repeats. Handed on as it is.
 	IdempotencyKey string
-	Ref            string // what the caller knows the request by; for observers alone
+	// Left, where set, tells whether the caller has left, as far as its connection shows; it is asked right before the first
+	// byte of each attempt, from any goroutine, and must return at once. A context that has ended says so as well.
+	Left func() bool
+	Ref  string // what the caller knows the request by; for observers alone
 }
 
 // Outcome is how a request ended.
