Breaches found afterwards are counted, logged with ids and end a laboratory node

Change: package violation counts by rule and path and tells once a second: a whole call on a connection that was closed, a second attempt of a call that may have run once, a refusal after such an attempt, an answer late by half a second, calls left at the end. The line of counts has failed accepts and connects, failed writes of the list, and violations. A node under a plan of faults ends at a breach.

--- a/cmd/oaklab/main.go
+++ b/cmd/oaklab/main.go
@@ -145,6 +145,7 @@
 			if o.Network, err = plan.Start(); err != nil {
 				return err
 			}
+			o.Strict = true
 		}
 		o.Log = slog.New(o.File.Handler(io.Writer(os.Stderr)))
 		return daemon.Run(c.Context(), o)
--- a/core.go
+++ b/core.go
@@ -17,6 +17,7 @@
 	"oakthread/commons"
 	"oakthread/decide"
 	"oakthread/internal/steady"
+	"oakthread/internal/violation"
 	"oakthread/rules"
 )
 
@@ -32,6 +33,9 @@
 	// called in the loop and must return at once. nil: all pass.
 	Admit    func(*Request) (wait time.Duration, ok bool)
 	Observed func(Observation) // called for every attempt and order that ends; must return at once
+	// Violated is told of a rule that was broken and found out only now, by the rule's name in docs/design/invariants.md; nil:
+	// nobody is.
+	Violated func(rule, path, id, detail string)
 	Log      *slog.Logger
 }
 
@@ -88,6 +92,7 @@
 }
 
 type call struct {
+	ran    int // attempts that may have run, of which nothing proves that they did not
 	req    Request
 	ctx    context.Context // its end says that the caller has left
 	tries  int
@@ -417,6 +422,12 @@
 		c.cfg.Log.Debug("attempt ended", "id", key.id, "n", key.n, "worker", uint32(w), "fn", uint64(fn), "class", class,
 			"result", r.Result.String(), "note", int(r.Warmth), "crowd", r.Crowd, "report", fmt.Sprint(r.Report), "ms", took.Milliseconds())
 	}
+	if k != nil && mayHaveRun(r.Result) {
+		k.ran++
+		if k.ran > 1 && c.runsOnce(k) {
+			c.violated(violation.Once, violation.PathLanded, key.id, "a second attempt ended that may have run")
+		}
+	}
 	if r.Result == decide.OK && k != nil {
 		c.book(k, Answer{Outcome: Served, Body: r.Body}, false)
 	}
@@ -424,6 +435,27 @@
 		Finished: c.open[key.id] == nil, Warmth: r.Warmth, Crowd: r.Crowd, RTT: int64(took), Report: r.Report})
 }
 
+// mayHaveRun tells whether an attempt that ended so may have had its effect.
+func mayHaveRun(r decide.Result) bool {
+	switch r {
+	case decide.OK, decide.Error, decide.Timeout, decide.Reset, decide.Cancelled:
+		return true
+	}
+	return false
+}
+
+// runsOnce tells whether a call must not run twice. Classes that a reload has added are not known here.
+func (c *Core) runsOnce(k *call) bool {
+	classes := c.cfg.Settings.Classes
+	return k.req.Class < len(classes) && classes[k.req.Class].Effect == decide.Unsafe
+}
+
+func (c *Core) violated(rule violation.Rule, path violation.Path, id, detail string) {
+	if c.cfg.Violated != nil {
+		c.cfg.Violated(string(rule), string(path), id, detail)
+	}
+}
+
 // unsent ends an attempt that must not be made: its caller has left, or its worker is not on the list. Nothing was written.
 func (c *Core) unsent(k *call, w decide.WorkerID, r decide.Result) {
 	n, sent := k.tries, time.Now()
@@ -444,6 +476,9 @@
 		return
 	}
 	delete(c.open, k.req.ID)
+	if a.Outcome == Refused && !abandoned && k.ran > 0 && c.runsOnce(k) {
+		c.violated(violation.Refusal, violation.PathBook, k.req.ID, "refused after an attempt that may have run")
+	}
 	for n := range k.tries {
 		if f := c.flights[flightKey{k.req.ID, n}]; f != nil {
 			f.revoke()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"oakthread/internal/opfile"
 	"oakthread/internal/platform"
 	"oakthread/internal/steady"
+	"oakthread/internal/violation"
 	"oakthread/roster"
 	"oakthread/service"
 	"oakthread/webhook"
@@ -49,6 +50,7 @@
 	Shared   bool // other daemons live in this process: its limits are not this one's
 	Fresh    bool // baseline of experiments: a kept list counts as if just told
 	Network  platform.Network
+	Strict   bool // in the laboratory: a rule found broken ends the process
 }
 
 // Run is the daemon, until ctx ends and all that it has taken is answered.
@@ -85,6 +87,10 @@
 	if peers != nil {
 		parts.Peers = peers
 	}
+	found := &violation.Recorder{Log: log, Strict: o.Strict}
+	parts.Violated = func(rule, path, id, detail string) {
+		found.Found(violation.Rule(rule), violation.Path(path), id, detail)
+	}
 	var hooks *webhook.Front // set before the first call comes
 	parts.Settled = func(s oakthread.Settlement) {
 		if hooks != nil {
@@ -152,6 +158,7 @@
 	tuner := newTuner(cfg, core, front, fleet)
 	go reload(beside, hup, getenv, cfg, channel, keys, &reloads, tuner.retune, log)
 	front.Gate = desk.Ready
+	front.Violated = parts.Violated
 	if cfg.Console != "" {
 		cl, err := platform.Listen(ctx, cfg.Console)
 		if err != nil {
@@ -164,7 +171,7 @@
 			}
 		}()
 	}
-	go count(beside, core, front, peers, log)
+	go count(beside, core, front, peers, faults{front, fleet, keeper, found}, log)
 
 	streamed := make(chan error, 1)
 	if streams == nil {
@@ -378,8 +385,23 @@
 	return most
 }
 
+// faults is what counts troubles of the system's.
+type faults struct {
+	front  *platform.Front
+	fleet  *platform.Fleet
+	keeper *kept.Keeper // nil: no list is kept
+	found  *violation.Recorder
+}
+
+func (f faults) listWrites() int64 {
+	if f.keeper == nil {
+		return 0
+	}
+	return f.keeper.FailedWrites()
+}
+
 // count logs the counters while calls come, and whether the process or the core's loop stood still.
-func count(ctx context.Context, core *oakthread.Core, front *platform.Front, peers *platform.Datagrams, log *slog.Logger) {
+func count(ctx context.Context, core *oakthread.Core, front *platform.Front, peers *platform.Datagrams, f faults, log *slog.Logger) {
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
 	var told oakthread.Counters
@@ -416,7 +438,9 @@
 				"attempts", n.Attempts, "full", n.Ends[decide.Full], "moot", n.Ends[decide.Moot], "cut", n.Ends[decide.Reset],
 				"unreached", n.Ends[decide.ConnectFailed], "late", n.Ends[decide.Timeout], "errors", n.Ends[decide.Error],
 				"called_off", n.Ends[decide.Cancelled], "orders", n.Orders, "orders_held", n.OrdersHeld, "bad", front.Bad(),
-				"peers_unread", n.Unread, "peers_long", long, "peers_unknown", strangers)
+				"peers_unread", n.Unread, "peers_long", long, "peers_unknown", strangers,
+				"accepts_failed", f.front.AcceptsFailed(), "connects_failed", f.fleet.Shortages(), "list_writes_failed", f.listWrites(),
+				"violations", f.found.Sum())
 		}
 	}
 }
--- a/internal/platform/fleet.go
+++ b/internal/platform/fleet.go
@@ -259,6 +259,9 @@
 	}
 }
 
+// Shortages counts the connects that failed for want of this machine's and were tried again.
+func (f *Fleet) Shortages() int64 { return f.shortages.Load() }
+
 // giveWay closes the connection that has been idle for longest.
 func (f *Fleet) giveWay() {
 	var longest *conn
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -22,6 +22,7 @@
 	"oakthread/internal/mutant"
 	"oakthread/internal/reply"
 	"oakthread/internal/steady"
+	"oakthread/internal/violation"
 	"oakthread/internal/wire"
 )
 
@@ -34,6 +35,7 @@
 	headerTime  = 1500 * time.Millisecond // from connecting to a whole head
 	bodyTime    = 1200 * time.Millisecond // from there to a whole body: both lie within answerOwed
 	answerOwed  = 3 * time.Second         // by then a client that never sends a whole call is owed its refusal or close
+	answerLate  = 500 * time.Millisecond  // an answer so much past its time is as good as none
 	mostLanes   = 1 << 10                 // figures beyond these are no model's
 	mostMemory  = 1 << 24                 // MB
 	mostLoad    = time.Hour
@@ -57,6 +59,9 @@
 	tally        sync.Map // class name → *Outcomes
 	held         atomic.Pointer[connLimiter]
 
+	// Violated, where set before Serve, is told of rules found broken.
+	Violated func(rule, path, id, detail string)
+
 	// Gate, where set before Serve, has the front say no to readiness while it returns false.
 	Gate func() bool
 }
@@ -120,6 +125,14 @@
 // changed afterwards.
 func (f *Front) Classes(names map[string]int) { f.classes.Store(&names) }
 
+// AcceptsFailed counts the accepts that failed and were tried again.
+func (f *Front) AcceptsFailed() int64 {
+	if held := f.held.Load(); held != nil {
+		return held.failed.Load()
+	}
+	return 0
+}
+
 // Bad counts the calls that could not be read.
 func (f *Front) Bad() int64 { return f.bad.Load() }
 
@@ -139,6 +152,7 @@
 		// Against bodies that never end, here and where the server reads what a handler left.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
 	} else if g != nil && !g.limiter.take(g) {
+		f.violated(violation.Answered, violation.PathTake, r.Header.Get("X-Call-Id"), "its connection was closed before it was taken")
 		panic(http.ErrAbortHandler)
 	}
 	if len(r.TransferEncoding) > 0 { // its end is the server's word alone: nothing behind it is read
@@ -172,6 +186,7 @@
 func (f *Front) call(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
+	began := time.Now()
 	q, status, err := f.takeIn(w, r, cameAt(r))
 	if err != nil {
 		f.refuse(w, status, err)
@@ -183,7 +198,8 @@
 			return
 		}
 		if !g.limiter.take(g) {
-			panic(http.ErrAbortHandler) // it gave way before the call was whole
+			f.violated(violation.Answered, violation.PathTake, q.ID, "its connection was closed before it was taken")
+			panic(http.ErrAbortHandler)
 		}
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
@@ -195,10 +211,19 @@
 	}
 	a, err := f.core.Do(r.Context(), q)
 	f.closeAfter(w, r)
+	if over := time.Since(q.Deadline); err == nil && began.Before(q.Deadline) && over > answerLate {
+		f.violated(violation.InTime, violation.PathBook, q.ID, fmt.Sprintf("answered %v after its time", over.Round(time.Millisecond)))
+	}
 	f.relay(w, a, err)
 	f.count(r.Header.Get("X-Class"), reply.Status(a, err))
 }
 
+func (f *Front) violated(rule violation.Rule, path violation.Path, id, detail string) {
+	if f.Violated != nil {
+		f.Violated(string(rule), string(path), id, detail)
+	}
+}
+
 // cameAt is when the last bytes of a request came that there are by now: it may have waited with the kernel, for a place or
 // for this process. A body that is still to come makes it no later: its client's time then ends a little early.
 func cameAt(r *http.Request) time.Time {
@@ -353,6 +378,7 @@
 	}
 	held.setKeepAlives(false)
 	if !held.empty(end) && f.open.Load() > 0 {
+		f.violated(violation.Answered, violation.PathEnd, "", fmt.Sprintf("%d calls are left without an answer", f.open.Load()))
 		return context.DeadlineExceeded
 	}
 	return nil // but for connections on which no call was under way
--- /dev/null
+++ b/internal/violation/violation_test.go
@@ -0,0 +1,24 @@
+package violation
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestBreachesAreCountedAndToldOnceASecond(t *testing.T) {
+	var log bytes.Buffer
+	r := &Recorder{Log: slog.New(slog.NewTextHandler(&log, nil))}
+	assert.Zero(t, r.Sum())
+	for range 3 {
+		r.Found(Once, PathLanded, "id1", "it ran twice")
+	}
+	r.Found(Answered, PathTake, "id2", "")
+	assert.Equal(t, map[Key]int64{{Once, PathLanded}: 3, {Answered, PathTake}: 1}, r.Counts())
+	assert.EqualValues(t, 4, r.Sum())
+	assert.Equal(t, 1, bytes.Count(log.Bytes(), []byte("rule violated")))
+	assert.Contains(t, log.String(), "id=id1")
+	(&Recorder{}).Found(Once, PathBook, "", "") // without a log
+}
