--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -124,8 +124,10 @@
 	for name, excuse := range map[string]func(r *Records, q *Request){
 		"it crossed the close of an idle connection": func(r *Records, q *Request) { q.End, q.Reused, r.Arrivals, q.Ended = Closed, true, nil, at(110) },
 		"its process was killed":                     func(r *Records, q *Request) { q.End, r.Lives[0][0].Killed = Closed, at(200) },
-		"it came long after SIGTERM":                 func(r *Records, q *Request) { q.End, r.Lives[0][0].Ending, r.Lives[0][0].Ended = Closed, at(-800), at(1000) },
-		"its process was stopped":                    func(r *Records, q *Request) { q.End, r.Paused[0] = Overdue, []span{{at(0), at(400)}} },
+		"it came long after SIGTERM": func(r *Records, q *Request) {
+			q.End, r.Lives[0][0].Ending, r.Lives[0][0].Ended = Closed, at(-800), at(1000)
+		},
+		"its process was stopped": func(r *Records, q *Request) { q.End, r.Paused[0] = Overdue, []span{{at(0), at(400)}} },
 	} {
 		r, q, _ := clean()
 		excuse(&r, q)
