The planted fault of clients that left reaches past the end of their attempts

Cause: a revoked attempt that has not begun is also ended, so a fault in the rule alone changed nothing that is seen.

Change: under the tag mutants the two faults of the guard on writing leave such an attempt to go on.

--- a/core.go
+++ b/core.go
@@ -16,6 +16,7 @@
 
 	"oakthread/commons"
 	"oakthread/decide"
+	"oakthread/internal/mutant"
 	"oakthread/internal/steady"
 	"oakthread/internal/violation"
 	"oakthread/rules"
@@ -140,7 +141,7 @@
 	f.revoked = true
 	begun := f.begun
 	f.mu.Unlock()
-	if !begun {
+	if !begun && !mutant.On(mutant.CallerLeft) && !mutant.On(mutant.Revoked) {
 		f.off(errRevoked)
 	}
 }
