Failing test: of several receipts that failed only the last is known not to have begun

A first write that failed after it had reached the file, then one that failed before: the second call's name took the first's place, and the message read as failed though it never ran.

--- a/webhook/disk_test.go
+++ b/webhook/disk_test.go
@@ -71,6 +71,19 @@
 	assert.Equal(t, map[string]int{"m": 1}, d.core.ran)
 }
 
+// The same where further deliveries fail before one is taken: none of their receipts is of a run that began.
+func TestReceiptsOfSeveralRunsThatNeverBegan(t *testing.T) {
+	d := newDaemon(t, "")
+	now, body := time.Now(), want("path-book", fn, "x")
+	for i, failures := range []struct{ before, after int }{{0, 1}, {1, 0}, {1, 0}} {
+		d.fail(failures.before, failures.after)
+		at := now.Add(time.Duration(i) * time.Second)
+		assert.Equal(t, 503, d.deliver(signed(t, secret(1), "m", at, body), body).Code)
+	}
+	assert.Equal(t, 200, d.deliver(signed(t, secret(1), "m", now.Add(3*time.Second), body), body).Code)
+	assert.Equal(t, map[string]int{"m": 1}, d.core.ran)
+}
+
 // A notice is tried again after its wait, and given up after its time, whatever steps the wall clock makes meanwhile.
 func TestNoticesAcrossStepsOfTheClock(t *testing.T) {
 	for _, by := range []time.Duration{-time.Hour, time.Hour} {
