All receipts of a message that could not be written are known not to have begun

Cause: one call was remembered for each message, the last; the file may have any of them.

Change: a list for each message, 64 of 4,096 messages at the most; beyond that such a receipt reads as failed and is not run. A count that nobody read is gone.

--- a/webhook/receive.go
+++ b/webhook/receive.go
@@ -74,12 +74,11 @@
 	runs  map[string]*run
 	// unbegun are the calls of receipts whose write failed, by message: where the file has one all the same, its run never
 	// began.
-	unbegun map[string]string
+	unbegun map[string][]string
 
-	closing    chan struct{} // closed by Close
-	closeOnce  sync.Once
-	unrecorded atomic.Int64 // writes of outcomes that failed; each is tried again
-	logLimit   netfault.LogLimit
+	closing   chan struct{} // closed by Close
+	closeOnce sync.Once
+	logLimit  netfault.LogLimit
 
 	taken, recorded, joined, unsigned, replayed, altered, denied, malformed, full atomic.Int64
 }
@@ -95,14 +94,17 @@
 	maxMessage = 64 << 10 // a call's body is 16 KiB at most, and grows by a third in base64
 	maxCall    = 16 << 10
 	comeBack   = time.Minute
-	answerTime = 5 * time.Second // beyond a call's own time
-	bodyTime   = 5 * time.Second
+
+	mostUnbegun     = 64 // receipts of one message that could not be written
+	mostUnbegunKeys = 4096
+	answerTime      = 5 * time.Second // beyond a call's own time
+	bodyTime        = 5 * time.Second
 )
 
 // NewReceiver makes the front. Without a store it refuses every class that must not run twice.
 func NewReceiver(core Doer, o *Options, ring *Ring, store *Store, notices *Sender, classes []Class, tenants []string, log *slog.Logger) (*Receiver, error) {
 	rc := &Receiver{core: core, ring: ring, store: store, classes: classes, allowed: map[string]int{},
-		tenants: map[string]int{}, keep: o.Keep.Duration, notices: notices, log: log, runs: map[string]*run{}, unbegun: map[string]string{}, closing: make(chan struct{}), slowest: bodyTime}
+		tenants: map[string]int{}, keep: o.Keep.Duration, notices: notices, log: log, runs: map[string]*run{}, unbegun: map[string][]string{}, closing: make(chan struct{}), slowest: bodyTime}
 	rc.ctx, rc.cancel = context.WithCancel(context.Background())
 	for i, c := range classes {
 		if len(o.Classes) == 0 {
@@ -310,7 +312,7 @@
 			rc.joined.Add(1)
 			return k, false, nil
 		}
-		rc.unbegun[key] = fresh.Call
+		rc.neverBegan(key, fresh.Call)
 		return nil, false, err
 	}
 	delete(rc.unbegun, key)
@@ -332,6 +334,14 @@
 	return k, true, nil
 }
 
+// neverBegan remembers a call whose receipt could not be written. Of too many messages or tries none is: such a receipt, where
+// the file has it, then reads as failed, and is not run. The caller holds mu.
+func (rc *Receiver) neverBegan(key, call string) {
+	if calls := rc.unbegun[key]; len(calls) < mostUnbegun && (calls != nil || len(rc.unbegun) < mostUnbegunKeys) {
+		rc.unbegun[key] = append(calls, call)
+	}
+}
+
 // lock keeps the stages of one message apart; the value unlocks.
 func (rc *Receiver) lock(key string) func() {
 	h := fnv.New32a()
@@ -384,7 +394,6 @@
 			rc.log.Error("webhook outcome not recorded, lost at the end", "call", q.ID, "err", err)
 			return
 		}
-		rc.unrecorded.Add(1)
 		if suppressed, ok := rc.logLimit.Allow(time.Now()); ok {
 			rc.log.Error("webhook outcome not recorded, trying again", "call", q.ID, "err", err, "suppressed", suppressed)
 		}
--- a/webhook/store.go
+++ b/webhook/store.go
@@ -153,8 +153,8 @@
 }
 
 // take writes a message's receipt ahead of its run. run: it is to be run under r.Call; else r says what is known. unbegun
-// names the call of a receipt whose write failed: where the file has it all the same, its run never began.
-func (s *Store) take(op, id string, at time.Time, fresh receipt, unbegun string, again func(receipt) bool) (r receipt, run bool, err error) {
+// names the calls of receipts whose writes failed: where the file has one all the same, its run never began.
+func (s *Store) take(op, id string, at time.Time, fresh receipt, unbegun []string, again func(receipt) bool) (r receipt, run bool, err error) {
 	err = s.db.Batch(func(tx *bbolt.Tx) error {
 		r, run = receipt{}, false
 		b, key := tx.Bucket(receipts), receiptKey(op, id)
@@ -162,7 +162,7 @@
 		if err != nil {
 			return err
 		}
-		void := known && r.Status == running && unbegun != "" && r.Call == unbegun
+		void := known && r.Status == running && slices.Contains(unbegun, r.Call)
 		if !known || void {
 			if !void {
 				n, err := s.count(tx, 1)
