Soak read once more: troubles in their own file, disks fail only where lists are kept

Change: troubles.go, moved as it was; the condition is gone; a run whose disk fails keeps the list.

Result: soak's and oaklab's tests pass with the race detector.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -314,7 +313,7 @@
 		r.End = Answered
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		r.End = Overdue
-	case r.Status != 0 || k.in.Buffered() > 0 || errors.Is(err, io.ErrUnexpectedEOF) && !strings.Contains(err.Error(), "EOF"):
+	case r.Status != 0 || k.in.Buffered() > 0:
 		r.End = Cut
 	default:
 		r.End = Closed
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -126,6 +126,7 @@
 	for at := firstTrouble; at < troubleTime-shortest; at += shortest + longest/2 {
 		for _, kind := range wave(rng, kinds) {
 			s.Troubles = append(s.Troubles, draw(rng, s, kind, at))
+			s.Kept = s.Kept || kind == DiskFails // else there is no file whose writes could fail
 		}
 	}
 	return s
--- /dev/null
+++ b/internal/soak/troubles.go
@@ -0,0 +1,311 @@
+package soak
+
+// This file owns how each trouble is brought about and ended.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"oakthread/internal/lab"
+)
+
+// trouble brings a trouble about for its time.
+func (w *world) trouble(ctx context.Context, t Trouble) {
+	if !wait(ctx, time.Until(w.begin.Add(t.At))) {
+		return
+	}
+	lasts, cancel := context.WithTimeout(ctx, t.For)
+	defer cancel()
+	var err error
+	switch t.Kind {
+	case Terminate, Crash, Pause, Reload, ReloadBad, DiskFails:
+		err = w.toProcesses(lasts, ctx, t)
+	case ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow:
+		err = w.toWays(lasts, t)
+	case ExecutorDrain, ExecutorRenew:
+		err = w.toExecutors(lasts, t)
+	case IdleClosed, AnswerTwice, AnswerPieces, AnswerCut, ExecutorErrors:
+		w.toAnswers(lasts, t)
+	case DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryOver:
+		err = w.toDiscovery(lasts, t)
+	case ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief, ClientsBurst:
+		w.toClients(lasts, t)
+	case PeersDeaf, PeersTwice:
+		w.toPeers(lasts, t)
+	case ClockStep, AcceptFails, ConnectFails, ConnectLate, TransferFails: // the processes do it to themselves
+		<-lasts.Done()
+	}
+	if err != nil {
+		w.mu.Lock()
+		w.failed = append(w.failed, fmt.Errorf("%s: %w", t, err))
+		w.mu.Unlock()
+	}
+}
+
+// wait waits; false: ctx has ended before.
+func wait(ctx context.Context, long time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(long):
+		return true
+	}
+}
+
+func (w *world) toProcesses(lasts, ctx context.Context, t Trouble) error {
+	return each(len(t.Targets), func(i int) error {
+		n := w.nodes[t.Targets[i]]
+		switch t.Kind {
+		case Terminate, Crash:
+			sig := syscall.SIGTERM
+			if t.Kind == Crash {
+				sig = syscall.SIGKILL
+			}
+			soon, cancel := context.WithTimeout(ctx, readyTime)
+			defer cancel()
+			return n.restart(soon, sig, func() map[string]any { return w.rig.Disc.Known(n.N) })
+		case Pause:
+			n.pause(lasts, t.For)
+		case DiskFails:
+			return w.failDisk(lasts, n, t)
+		default:
+			return w.reloads(lasts, n, t)
+		}
+		return nil
+	})
+}
+
+// failDisk has writes of the process fail beyond a place in the file, so that one may end in the middle.
+func (w *world) failDisk(lasts context.Context, n *node, t Trouble) error {
+	n.action.Lock()
+	defer n.action.Unlock()
+	if err := n.limitFiles(int64(t.Amount * diskRoom)); err != nil {
+		return err
+	}
+	<-lasts.Done()
+	return n.limitFiles(-1)
+}
+
+// reloads has a node read one file after another.
+func (w *world) reloads(lasts context.Context, n *node, t Trouble) error {
+	for i := 0; lasts.Err() == nil; i++ {
+		raw, err := w.file(n, t, i)
+		if err != nil {
+			return err
+		}
+		n.action.Lock()
+		err = n.reload(raw)
+		if err == nil {
+			wait(lasts, reloadStands)
+			err = os.WriteFile(n.Config, n.good, 0o600)
+		}
+		n.action.Unlock()
+		if err != nil {
+			return err
+		}
+		wait(lasts, reloadEvery)
+	}
+	return nil
+}
+
+// file is a configuration for a reload: good, without its settings, or cut off.
+func (w *world) file(n *node, t Trouble, i int) ([]byte, error) {
+	if t.Kind == ReloadBad && i%2 == 0 {
+		return n.good[:int(t.Amount*float64(len(n.good)))], nil
+	}
+	var config map[string]any
+	if err := json.Unmarshal(n.good, &config); err != nil {
+		return nil, err
+	}
+	if t.Kind == ReloadBad {
+		delete(config, "settings")
+	} else {
+		config["settings"].(map[string]any)["permissions"].(map[string]any)["send_cap"] = 3 + i%3
+	}
+	return json.Marshal(config)
+}
+
+// toWays changes the ways between all dispatchers and some executors.
+func (w *world) toWays(lasts context.Context, t Trouble) error {
+	what, delay := map[Kind]lab.Fault{ExecutorHang: lab.Freeze, ExecutorVanish: lab.Cut, ExecutorReset: lab.Reset, ExecutorSlow: lab.Open}[t.Kind], time.Duration(0)
+	if t.Kind == ExecutorSlow {
+		delay = time.Duration(t.Amount * float64(150*time.Millisecond))
+	}
+	if t.Kind == ExecutorReset { // for a moment, so that open connections are reset and new ones come up
+		var cancel context.CancelFunc
+		lasts, cancel = context.WithTimeout(lasts, 30*time.Millisecond)
+		defer cancel()
+	}
+	pick := func(_, executor int) bool { return contains(t.Targets, executor) }
+	marks := make([]int, len(t.Targets))
+	for i, e := range t.Targets {
+		marks[i] = w.disturb(&w.troubled[e])
+	}
+	if err := w.rig.Ways.Between(what, delay, pick); err != nil {
+		return err
+	}
+	<-lasts.Done()
+	err := w.rig.Ways.Between(lab.Open, 0, pick)
+	for i, e := range t.Targets {
+		w.calm(&w.troubled[e], marks[i])
+	}
+	return err
+}
+
+func contains(targets []int, n int) bool {
+	for _, t := range targets {
+		if t == n {
+			return true
+		}
+	}
+	return false
+}
+
+// disturb notes that something begins to be not as it should; calm ends it.
+func (w *world) disturb(list *[]span) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*list = append(*list, span{from: time.Now()})
+	return len(*list) - 1
+}
+
+func (w *world) calm(list *[]span, at int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	(*list)[at].until = time.Now().Add(wayTail)
+}
+
+// wayTail is for what was on a way when it was opened again.
+const wayTail = 100 * time.Millisecond
+
+// toExecutors has executors drain and others come, cold.
+func (w *world) toExecutors(lasts context.Context, t Trouble) error {
+	var mine []int
+	w.mu.Lock()
+	for _, e := range t.Targets {
+		if !w.busy[e] {
+			w.busy[e] = true
+			mine = append(mine, e)
+		}
+	}
+	pick := func(box int) bool { return contains(mine, box) }
+	if t.Kind == ExecutorDrain {
+		w.rig.Drain(pick)
+		for _, e := range mine {
+			w.drains = append(w.drains, Drain{e, span{from: time.Now()}})
+		}
+	}
+	w.mu.Unlock()
+	if t.Kind == ExecutorDrain {
+		<-lasts.Done()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.drains {
+		if pick(w.drains[i].Executor) && w.drains[i].until.IsZero() {
+			w.drains[i].until = time.Now()
+		}
+	}
+	for _, e := range mine {
+		delete(w.busy, e)
+		if err := w.rig.Replace(e); err != nil {
+			return err
+		}
+		w.rig.Listed[e].Phase = lab.Ready
+		w.rig.Boxes[e].Around(w.executors[e].around)
+	}
+	w.rig.Told(pick)
+	return nil
+}
+
+// toAnswers has executors spoil a share of their answers.
+func (w *world) toAnswers(lasts context.Context, t Trouble) {
+	set := func(share float64) {
+		for _, e := range t.Targets {
+			if t.Kind != ExecutorErrors {
+				w.executors[e].set(t.Kind, share)
+				continue
+			}
+			w.mu.Lock()
+			w.rig.Boxes[e].Fail(share)
+			w.mu.Unlock()
+		}
+	}
+	set(0.1 + 0.5*t.Amount)
+	<-lasts.Done()
+	set(0)
+}
+
+func (w *world) toDiscovery(lasts context.Context, t Trouble) error {
+	if t.Kind == DiscoveryOver {
+		w.mu.Lock()
+		w.rig.Told(func(int) bool { return true })
+		w.mu.Unlock()
+		return nil
+	}
+	what, delay := map[Kind]lab.Fault{DiscoverySilent: lab.Freeze, DiscoveryReset: lab.Reset, DiscoverySlow: lab.Open}[t.Kind], time.Duration(0)
+	if t.Kind == DiscoverySlow {
+		delay = time.Duration(t.Amount * float64(time.Second))
+	}
+	marks := make([]int, len(t.Targets))
+	for i, n := range t.Targets {
+		marks[i] = w.disturb(&w.untold[n])
+		if err := w.rig.Ways.Channels[n].Set(what, delay); err != nil {
+			return err
+		}
+	}
+	<-lasts.Done()
+	for i, n := range t.Targets {
+		if err := w.rig.Ways.Channels[n].Set(lab.Open, 0); err != nil {
+			return err
+		}
+		w.calm(&w.untold[n], marks[i])
+	}
+	return nil
+}
+
+func (w *world) toClients(lasts context.Context, t Trouble) {
+	share := 0.2 + 0.6*t.Amount
+	set := func(x float64) {
+		for _, n := range t.Targets {
+			w.clients[n].behave(func(b *behaviour) {
+				switch t.Kind {
+				case ClientsLeave:
+					b.Leave = x
+				case ClientsDawdle:
+					b.Dawdle = x
+				case ClientsRetry:
+					b.Retry = x
+				case ClientsBrief:
+					b.Brief = x
+				}
+			})
+		}
+	}
+	if t.Kind == ClientsFlood {
+		_ = each(len(t.Targets), func(i int) error { w.clients[t.Targets[i]].flood(lasts, floodConns); return nil })
+		return
+	}
+	if t.Kind == ClientsBurst {
+		_ = each(min(len(t.Targets), 2), func(i int) error { w.clients[t.Targets[i]].burst(lasts, burstClients); return nil })
+		return
+	}
+	set(share)
+	<-lasts.Done()
+	set(0)
+}
+
+func (w *world) toPeers(lasts context.Context, t Trouble) {
+	wire := lab.Lost
+	if t.Kind == PeersTwice {
+		wire = lab.Wire{Twice: 0.5, Delay: time.Duration(t.Amount * float64(400*time.Millisecond)), Jitter: 200 * time.Millisecond}
+	}
+	pick := func(_, to int) bool { return contains(t.Targets, to) }
+	w.rig.Words.Set(wire, pick)
+	<-lasts.Done()
+	w.rig.Words.Set(lab.Wire{}, pick)
+}
