Log and count why requests end, and how old the endpoint list's confirmation is

Need: the records of the incident did not say why calls were refused, nor that the list of every node was unconfirmed. Measured: tests of balancer, core and daemon pass; no decision changed.

--- a/api.go
+++ b/api.go
@@ -10,7 +10,11 @@
 
 // Counters returns the totals since the start, or zeros if the Core is closed.
 func (c *Core) Counters() Counters {
-	return query(c, func() Counters { return c.state.counters })
+	return query(c, func() Counters {
+		counters := c.state.counters
+		counters.EndReasons = c.state.balancer.EndReasons()
+		return counters
+	})
 }
 
 // AddClasses adds classes that requests may name from now on, all of them or none, and returns the
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -32,6 +32,7 @@
 	loads     loadModel
 	loadQuota loadQuota
 	gossip    gossipState
+	ended     endReasons
 
 	timers timerQueue
 	logs   logLimiter
--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -7,6 +7,7 @@
 		return
 	}
 	if request.Class < 0 || request.Class >= len(b.settings.Classes) {
+		b.ended.record(EndedByClass)
 		b.host.Reject(request.ID, 0)
 		return
 	}
@@ -17,6 +18,7 @@
 		if function := b.holders.lookup(request.Func); function != nil && function.served {
 			b.countTowardLoadQuota(now)
 		}
+		b.ended.record(EndedByOverload)
 		b.host.Reject(request.ID, b.settings.MaxRetryAfter)
 		return
 	}
@@ -48,7 +50,7 @@
 // dispatch sends a request to the chosen worker, holds it for a load, or has it looked at again.
 func (b *Balancer) dispatch(now int64, request *requestState) {
 	if now >= b.answerBy(request) || len(request.attempts) >= b.settings.MaxAttempts {
-		b.finish(now, request)
+		b.finish(now, request, EndedByAttemptLimit)
 		return
 	}
 	worker, trial := b.chooseWorker(now, request)
@@ -64,12 +66,12 @@
 // awaitWorker has a request for which there is no worker looked at again, or ends it if none may
 // come: one that was never sent ends early, so that its client can go elsewhere.
 func (b *Balancer) awaitWorker(now int64, request *requestState) {
-	hopeless := now >= request.holdDeadline()
+	hopeless, reason := now >= request.holdDeadline(), EndedWithoutWorker
 	if len(request.attempts) > 0 {
-		hopeless = !b.mayRetryAnywhere(now, request)
+		hopeless, reason = !b.mayRetryAnywhere(now, request), EndedNotRetryable
 	}
 	if hopeless {
-		b.finish(now, request)
+		b.finish(now, request, reason)
 		return
 	}
 	b.scheduleRecheck(request, now+max(b.shortestObjective/maintenanceRounds/2, b.settings.ClockResolution))
@@ -149,8 +151,10 @@
 	return int64(due)
 }
 
-// finish gives the one final answer: rejected if the client may safely try again, else failed.
-func (b *Balancer) finish(now int64, request *requestState) {
+// finish gives the one final answer: rejected if the client may safely try again, else failed. The
+// reason is recorded unless the deadline has come or the attempts are used up.
+func (b *Balancer) finish(now int64, request *requestState, reason EndReason) {
+	b.ended.record(b.endReasonOf(now, request, reason))
 	if b.mayReject(now, request) {
 		b.host.Reject(request.ID, b.settings.MaxRetryAfter)
 	} else {
--- a/balancer/maintenance.go
+++ b/balancer/maintenance.go
@@ -61,7 +61,7 @@
 		b.runMaintenance(now)
 	case request.done || request.streaming:
 	case now >= b.answerBy(request):
-		b.finish(now, request)
+		b.finish(now, request, EndedByDeadline)
 	case now >= request.recheckAt:
 		request.recheckAt = noDeadline
 		b.handleOverdue(now, request)
--- a/balancer/result.go
+++ b/balancer/result.go
@@ -49,8 +49,12 @@
 	if result.Result == OK || request.lastInFlight() != nil {
 		return
 	}
-	if now >= b.answerBy(request) || isUnknownFunction(request, result) || !b.mayRetryAnywhere(now, request) {
-		b.finish(now, request)
+	if isUnknownFunction(request, result) {
+		b.finish(now, request, EndedByUnknownFunction)
+		return
+	}
+	if now >= b.answerBy(request) || !b.mayRetryAnywhere(now, request) {
+		b.finish(now, request, EndedNotRetryable)
 		return
 	}
 	if b.retryWithLoadOrder(now, attempt, result) || b.backOff(now, attempt, result) {
--- a/core.go
+++ b/core.go
@@ -20,7 +20,8 @@
 
 	loadLimiter loadOrderLimiter
 
-	ready      atomic.Bool
+	ready       atomic.Bool
+	confirmedAt atomic.Int64 // when discovery last confirmed the endpoint list, in nanoseconds of the process clock; 0: never
 	classCount atomic.Int64 // classes that a request may name
 
 	closeOnce sync.Once
--- a/counters.go
+++ b/counters.go
@@ -9,6 +9,8 @@
 	RejectedByLimit     int64 // part of Rejected: more requests than Config.MaxInFlight
 	RejectedByAdmission int64 // part of Rejected: by Config.Admit
 
+	EndReasons [balancer.NumEndReasons]int64 // requests that the balancer ended, indexed by balancer.EndReason
+
 	Attempts       int64                      // attempts handed to Workers
 	AttemptResults [balancer.NumResults]int64 // ended attempts, indexed by balancer.Result
 
--- a/endpoints.go
+++ b/endpoints.go
@@ -51,6 +51,22 @@
 	c.post(func() { c.applyEndpoints(update) })
 }
 
+// ConfirmEndpoints takes that discovery has confirmed the endpoint list: every change known to it has
+// been passed to UpdateEndpoints.
+func (c *Core) ConfirmEndpoints() {
+	c.confirmedAt.Store(monotime.Now().UnixNano())
+}
+
+// EndpointsAge returns the time since discovery last confirmed the endpoint list; ok is false if it
+// never has.
+func (c *Core) EndpointsAge() (age time.Duration, ok bool) {
+	confirmedAt := c.confirmedAt.Load()
+	if confirmedAt == 0 {
+		return 0, false
+	}
+	return time.Duration(monotime.Now().UnixNano() - confirmedAt), true
+}
+
 // applyEndpoints applies an update to the table of endpoints and passes it to the balancer.
 func (c *Core) applyEndpoints(update EndpointUpdate) {
 	entries := make([]balancer.Endpoint, 0, len(update.Endpoints))
--- a/host.go
+++ b/host.go
@@ -50,6 +50,7 @@
 // Reject rejects a request; wait is its Retry-After in nanoseconds, no advice below 1.
 func (h host) Reject(id string, wait int64) {
 	if request := h.core.state.requests[id]; request != nil {
+		request.endReason = h.core.state.balancer.EndReason().String()
 		h.core.reject(request, time.Duration(max(wait, 0)))
 	}
 }
@@ -57,6 +58,7 @@
 // Fail fails a request that may have run.
 func (h host) Fail(id string) {
 	if request := h.core.state.requests[id]; request != nil {
+		request.endReason = h.core.state.balancer.EndReason().String()
 		h.core.fail(request)
 	}
 }
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"oakthread"
 	"oakthread/balancer"
 )
@@ -8,6 +10,7 @@
 // logCounters logs the counters of the core and of the parts around it.
 func (m *monitor) logCounters(counters oakthread.Counters) {
 	results := &counters.AttemptResults
+	ended := &counters.EndReasons
 	unknownPeers, oversized := m.peers.Dropped()
 	m.log.Info("counts",
 		"taken", counters.Accepted,
@@ -18,6 +21,12 @@
 		"abandoned", counters.Abandoned,
 		"turned_away", counters.RejectedByLimit,
 		"held_off", counters.RejectedByAdmission,
+		"ended_overload", ended[balancer.EndedByOverload],
+		"ended_deadline", ended[balancer.EndedByDeadline],
+		"ended_attempts", ended[balancer.EndedByAttemptLimit],
+		"ended_no_worker", ended[balancer.EndedWithoutWorker],
+		"ended_not_retryable", ended[balancer.EndedNotRetryable],
+		"ended_unknown_function", ended[balancer.EndedByUnknownFunction],
 		"attempts", counters.Attempts,
 		"full", results[balancer.QueueFull],
 		"moot", results[balancer.NotSent],
@@ -29,6 +38,7 @@
 		"orders", counters.LoadOrders,
 		"orders_held", counters.LoadOrdersWithheld,
 		"bad", m.server.Malformed(),
+		"list_age_ms", m.listAge().Milliseconds(),
 		"peers_unread", counters.InvalidPeerMessages,
 		"peers_long", oversized,
 		"peers_unknown", unknownPeers,
@@ -38,6 +48,12 @@
 		"violations", m.violations.Total())
 }
 
+// listAge returns the time since discovery last confirmed the endpoint list, or zero if it never has.
+func (m *monitor) listAge() time.Duration {
+	age, _ := m.core.EndpointsAge()
+	return age
+}
+
 // failedCacheWrites returns the failed writes of the endpoint cache, or zero if there is none.
 func (m *monitor) failedCacheWrites() int64 {
 	if m.endpointCache == nil {
--- a/internal/daemon/monitor.go
+++ b/internal/daemon/monitor.go
@@ -21,6 +21,9 @@
 	stallThreshold = 300 * time.Millisecond
 	// clockStepThreshold is the step of the wall clock that is logged.
 	clockStepThreshold = 100 * time.Millisecond
+	// listAgeThreshold is the time without a confirmation of the endpoint list that is logged.
+	// Discovery confirms it every second.
+	listAgeThreshold = 2 * time.Second
 )
 
 // monitor logs the counters, stalls of the process and steps of the wall clock.
@@ -32,6 +35,7 @@
 	nextLog    time.Time
 	lastLook   time.Time
 	loggedStep time.Duration // of the wall clock since the start, as last logged
+	listLostAt time.Time     // when discovery had last confirmed the endpoint list; zero while it does
 }
 
 // newMonitor returns a monitor of the parts of a daemon.
@@ -61,6 +65,7 @@
 	woken := time.Now()
 	counters := m.core.Counters()
 	m.detectClockStep()
+	m.detectListLoss(woken)
 	m.detectStall(woken.Sub(m.lastLook)-monitorInterval, time.Since(woken))
 	if m.peers != nil && m.log.Enabled(ctx, slog.LevelDebug) {
 		m.logFleetView()
@@ -81,6 +86,20 @@
 	}
 }
 
+// detectListLoss logs that discovery has not confirmed the endpoint list for a while, and when it does
+// again.
+func (m *monitor) detectListLoss(now time.Time) {
+	age, ok := m.core.EndpointsAge()
+	switch {
+	case ok && age > listAgeThreshold && m.listLostAt.IsZero():
+		m.listLostAt = now.Add(-age)
+		m.log.Warn("endpoint list unconfirmed", "age", age)
+	case ok && age <= listAgeThreshold && !m.listLostAt.IsZero():
+		m.log.Info("endpoint list confirmed again", "unconfirmed_for", now.Sub(m.listLostAt))
+		m.listLostAt = time.Time{}
+	}
+}
+
 // detectStall logs a stall of the process, which woke late, or of the event loop, which answered
 // late.
 func (m *monitor) detectStall(processDelay, loopDelay time.Duration) {
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 
-	"oakthread"
 	"oakthread/endpoints"
 	"oakthread/internal/h2"
 	"oakthread/internal/platform"
@@ -48,7 +47,8 @@
 	d.watcher = platform.NewEndpointWatcher(d.cfg, d.log)
 	d.watcher.SetNetwork(d.options.Network)
 	if d.endpointCache == nil {
-		go func() { _ = oakthread.EndpointWatcher(d.watcher).Watch(d.background, d.console.UpdateEndpoints) }()
+		feed := newEndpointFeed(platform.UpdateHandler(d.console.UpdateEndpoints), d.core)
+		go func() { _ = d.watcher.Follow(d.background, feed) }()
 		return
 	}
 	addrs := d.options.File.EndpointCache.Discovery
@@ -62,7 +62,8 @@
 		defer close(d.cacheClosed)
 		d.endpointCache.Run(d.background)
 	}()
-	go func() { _ = d.watcher.Follow(d.background, d.endpointCache) }()
+	feed := newEndpointFeed(d.endpointCache, d.core)
+	go func() { _ = d.watcher.Follow(d.background, feed) }()
 }
 
 // startConsole starts the operators' console, if the configuration names an address for it.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -43,13 +43,20 @@
 	HandleRestart()
 }
 
-// updateFunc is the EndpointHandler of a dispatcher that stores no list.
-type updateFunc func(oakthread.EndpointUpdate)
+// UpdateHandler is an EndpointHandler that passes on the changes of the list and nothing else.
+type UpdateHandler func(oakthread.EndpointUpdate)
 
-func (f updateFunc) HandleUpdate(r oakthread.EndpointUpdate, _ string, _ int64) { f(r) }
-func (updateFunc) HandleHeartbeat()                                             {}
-func (updateFunc) HandleLoss()                                                  {}
-func (updateFunc) HandleRestart()                                               {}
+// HandleUpdate passes on a change.
+func (f UpdateHandler) HandleUpdate(update oakthread.EndpointUpdate, _ string, _ int64) { f(update) }
+
+// HandleHeartbeat does nothing.
+func (UpdateHandler) HandleHeartbeat() {}
+
+// HandleLoss does nothing.
+func (UpdateHandler) HandleLoss() {}
+
+// HandleRestart does nothing.
+func (UpdateHandler) HandleRestart() {}
 
 // EndpointWatcher follows the command channel, on which discovery writes the endpoint list and its
 // changes. Each event is handled once and in order; the watch resumes after the last one on a new
@@ -101,7 +108,7 @@
 // Watch calls update with the events known at the start and then with those of the channel, until ctx
 // ends.
 func (w *EndpointWatcher) Watch(ctx context.Context, update func(oakthread.EndpointUpdate)) error {
-	return w.Follow(ctx, updateFunc(update))
+	return w.Follow(ctx, UpdateHandler(update))
 }
 
 // Follow handles the events known at the start and then those of the channel, and reconnects, until ctx
--- a/request.go
+++ b/request.go
@@ -14,6 +14,13 @@
 // left unanswered.
 const answerGrace = 20 * time.Millisecond
 
+// Reasons of the core to end a request, beside those of balancer.EndReason.
+const (
+	endedByInFlightLimit = "in_flight_limit"
+	endedByAdmission     = "admission"
+	endedOverdue         = "overdue"
+)
+
 // pendingRequest is a request without a final answer. Do owns it until admit; from then on the
 // event loop does.
 type pendingRequest struct {
@@ -22,6 +29,7 @@
 	ctx        context.Context // ends when the caller leaves
 	attempts   int             // attempts so far
 	executions int             // attempts that may have run
+	endReason  string          // why it was ended without a worker's answer; "" if it was not
 	answer     chan result     // receives the one final answer; has room for it
 }
 
@@ -93,12 +101,14 @@
 	c.state.requests[request.ID] = request
 	if full {
 		c.state.counters.RejectedByLimit++
+		request.endReason = endedByInFlightLimit
 		c.reject(request, time.Duration(c.cfg.Settings.MaxRetryAfter))
 		return
 	}
 	if c.cfg.Admit != nil {
 		if wait, ok := c.cfg.Admit(&request.Request); !ok {
 			c.state.counters.RejectedByAdmission++
+			request.endReason = endedByAdmission
 			c.reject(request, wait)
 			return
 		}
@@ -154,6 +164,7 @@
 		return
 	}
 	c.cfg.Log.Error("answer overdue, ended by the core", "id", request.ID)
+	request.endReason = endedOverdue
 	c.complete(request, Answer{Outcome: TimedOut})
 	c.state.balancer.HandleClientGone(c.now(), request.ID)
 }
@@ -194,7 +205,7 @@
 		return
 	}
 	c.cfg.Log.Debug("settled", "id", request.ID, "fn", uint64(request.Func), "class", request.Class,
-		"outcome", completion.Answer.Outcome.String(), "abandoned", completion.Abandoned,
+		"outcome", completion.Answer.Outcome.String(), "abandoned", completion.Abandoned, "reason", request.endReason,
 		"attempts", request.attempts, "left_ms", time.Until(request.Deadline).Milliseconds())
 }
 
