Leases: silent discovery means workers must show that they accept work

Cause: the balancer took an endpoint list without news for one without changes, and a rejection by a draining worker for a full queue. Discovery's heartbeats come as objects that hold the number alone on the real channel; they were read as events of an unknown kind, so that nothing in the program knew whether its list was current. Change: package lease; heartbeats of both forms confirm the list; without one for 1.25 s a worker needs an answer or a health check that began within the drain grace, for calls, hedges, retries and load orders, asked again right before the first byte; a worker that drains, or went unseen for 6 s, is used again once its start must have been told.

--- a/api.go
+++ b/api.go
@@ -13,6 +13,7 @@
 	return query(c, func() Counters {
 		counters := c.state.counters
 		counters.EndReasons = c.state.balancer.EndReasons()
+		counters.Leases = c.state.balancer.LeaseCounts()
 		return counters
 	})
 }
--- a/attempt.go
+++ b/attempt.go
@@ -34,11 +34,17 @@
 func (c *Core) startAttempt(request *pendingRequest, worker Endpoint, deadline time.Time) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	ctx, release := context.WithDeadline(ctx, deadline)
+	leaseEnd := c.state.balancer.LeaseEnd(worker.ID)
 	attempt := &inFlightAttempt{
-		writePermission: writePermission{caller: request.ctx, callerGone: request.CallerGone, cancel: cancel},
-		key:             attemptKey{request.ID, request.attempts},
-		class:           request.Class,
-		worker:          worker.ID,
+		writePermission: writePermission{
+			caller:     request.ctx,
+			callerGone: request.CallerGone,
+			cancel:     cancel,
+			leaseHolds: func() bool { return c.leaseHolds(leaseEnd) },
+		},
+		key:    attemptKey{request.ID, request.attempts},
+		class:  request.Class,
+		worker: worker.ID,
 	}
 	c.state.attempts[attempt.key] = attempt
 	request.attempts++
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -32,6 +32,7 @@
 	loads     loadModel
 	loadQuota loadQuota
 	gossip    gossipState
+	leases    leaseState
 	ended     endReasons
 
 	timers timerQueue
@@ -70,6 +71,7 @@
 			window: settings.LoadQuotaWindow,
 			limits: rules.LoadQuota{Base: settings.LoadQuotaBase, Ratio: settings.LoadQuotaRatio},
 		},
+		leases: newLeaseState(&settings),
 		timers: timerQueue{deadline: noDeadline, stalledAt: now - 1},
 	}
 	b.appendClasses(classes)
--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -35,12 +35,26 @@
 	workers := b.endpoints.ring.Window(b.choice.examined[:0], mix64(key), 0, ringWindow)
 	preferred := len(workers)
 	workers = b.endpoints.appendSample(workers, b.rng)
+	if !b.leases.keeper.Confirmed(now) {
+		workers = b.appendTracked(workers)
+	}
 	representative := len(workers)
 	workers = b.appendHolders(workers, request.function.holders)
 	b.choice.examined = workers
 	return examinedWorkers{workers, preferred, representative, places / (windows * ringWindow)}
 }
 
+// appendTracked appends workers of a long list whose leases are renewed, from a random one on: while
+// the list is unconfirmed, most of those that a sample draws may not be used.
+func (b *Balancer) appendTracked(workers []*workerState) []*workerState {
+	tracked := b.endpoints.workersWithHolders()
+	first := b.rng.IntN(len(tracked) + 1)
+	for i := range min(len(tracked), sampleSize) {
+		workers = append(workers, tracked[(first+i)%len(tracked)])
+	}
+	return workers
+}
+
 // appendHolders appends the workers of a bounded number of holders, from a random one on.
 func (b *Balancer) appendHolders(workers []*workerState, holders []*holderState) []*workerState {
 	first := b.rng.IntN(len(holders) + 1)
--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -221,8 +221,9 @@
 	return score
 }
 
-// eligible reports whether a worker may get attempts and load orders: it is listed, not draining
-// and within its slow-start budget. Every attempt and every load order passes it (rules 3 and 4).
+// eligible reports whether a worker may get attempts and load orders, perhaps after a health check:
+// it is listed, drains neither by the list nor by its own report, and is within its slow-start budget.
+// Every attempt and every load order passes it (rules 3 and 4).
 func (b *Balancer) eligible(now int64, worker *workerState) bool {
-	return worker.listed && worker.State == Active && b.slowStartAllows(now, worker)
+	return worker.listed && worker.State == Active && b.leases.mayUse(now, worker) && b.slowStartAllows(now, worker)
 }
--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -49,6 +49,7 @@
 
 // dispatch sends a request to the chosen worker, holds it for a load, or has it looked at again.
 func (b *Balancer) dispatch(now int64, request *requestState) {
+	request.awaitingCheck = nil
 	if now >= b.answerBy(request) || len(request.attempts) >= b.settings.MaxAttempts {
 		b.finish(now, request, EndedByAttemptLimit)
 		return
@@ -58,6 +59,9 @@
 		b.awaitWorker(now, request)
 		return
 	}
+	if b.awaitLease(now, request, worker) {
+		return
+	}
 	if trial || !b.holdForLoad(now, request, worker) {
 		b.sendAttempt(now, request, worker, trial)
 	}
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -53,9 +53,7 @@
 		worker = &workerState{pacing: pacing{pace: 1}}
 		t.byID[endpoint.Worker], t.byTag[workerTag(endpoint.Worker)] = worker, worker
 	} else if endpoint.Start != worker.Start && endpoint.Start > 0 {
-		worker.forgetCopies()
-		worker.slowStartSlot = 0
-		worker.outlierStats.Reset()
+		worker.beginAnew()
 	}
 	worker.Endpoint, worker.listed = endpoint, endpoint.State != Removed
 	if worker.listed && !worker.inTable {
--- a/balancer/endpointupdate.go
+++ b/balancer/endpointupdate.go
@@ -23,7 +23,10 @@
 	defer b.armTimer()
 	b.poller.received(now, kind)
 	for _, endpoint := range endpoints {
+		known := b.endpoints.byID[endpoint.Worker]
+		restarted := known == nil || endpoint.Start > 0 && endpoint.Start != known.Start
 		worker := b.endpoints.apply(b.now, endpoint)
+		b.leases.keeper.Listed(&worker.lease, endpoint.State == Active, restarted)
 		b.slowStart.track(b.now, worker)
 	}
 	if kind == EndpointsSnapshot || kind == EndpointsCached {
--- a/balancer/hedge.go
+++ b/balancer/hedge.go
@@ -5,6 +5,9 @@
 	hedgeBudgetRatio = 0.1
 	// slowWorkerTolerance is how many times the overdue time a worker that answers others is given.
 	slowWorkerTolerance = 2.0
+	// hedgeCheckDelay is the time in nanoseconds that a health check is given before a hedge to its
+	// worker is considered again.
+	hedgeCheckDelay = int64(10e6)
 )
 
 // hedgeBudget limits the hedged requests against workers that answer others.
@@ -38,6 +41,11 @@
 		b.scheduleRecheck(request, now+b.shortestObjective/maintenanceRounds)
 		return
 	}
+	if !b.leases.isValid(now, worker) {
+		b.checkForCall(now, worker)
+		b.scheduleRecheck(request, now+hedgeCheckDelay)
+		return
+	}
 	if !silent {
 		b.hedges.tokens--
 	}
--- /dev/null
+++ b/balancer/lease.go
@@ -0,0 +1,223 @@
+package balancer
+
+import (
+	"oakthread/lease"
+)
+
+const (
+	// periodicCheckRate is how many periodic health checks a second this dispatcher makes at most, over
+	// all workers. That is enough to see each of the 256 workers of a short list in time.
+	periodicCheckRate = 50.0
+	// periodicCheckBurst is how many of them may be made at once.
+	periodicCheckBurst = 10.0
+	// checkWaitLimit is after how many nanoseconds a request that waits for a health check is looked at
+	// again even if no result has come.
+	checkWaitLimit = int64(300e6)
+)
+
+// leaseState holds the leases of the workers, and the rate of health checks that renew them.
+type leaseState struct {
+	keeper   *lease.Keeper
+	tokens   float64 // periodic checks that may be made now
+	tokensAt int64
+	next     int // index in the list from which the next round goes on
+	counts   LeaseCounts
+}
+
+// LeaseCounts are totals since the start.
+type LeaseCounts struct {
+	Checks         int64 // health checks
+	ChecksRejected int64 // of these: answered that the worker accepts no work
+	ChecksFailed   int64 // of these: not answered, or not as expected
+	Waits          int64 // requests that waited for a health check
+	Drains         int64 // workers that were found to drain by their own report
+	Probations     int64 // workers that were put on probation
+	Readmissions   int64 // workers whose probation ended with nothing found
+}
+
+// newLeaseState returns the leases of a list that is not confirmed yet.
+func newLeaseState(s *Settings) leaseState {
+	return leaseState{keeper: lease.New(lease.Settings{
+		ConfirmInterval: s.ConfirmInterval,
+		Grace:           s.DrainGrace,
+		UpdateDelay:     s.EndpointUpdateDelay,
+		HealthChecks:    s.HealthChecks,
+		Dispatchers:     s.Dispatchers,
+	})}
+}
+
+// mayUse reports whether a worker may be chosen: it may get new work, perhaps after a health check.
+func (l *leaseState) mayUse(now int64, worker *workerState) bool {
+	status := l.keeper.Status(now, &worker.lease)
+	return status == lease.Valid || status == lease.Expired
+}
+
+// isValid reports whether a worker may get new work at once.
+func (l *leaseState) isValid(now int64, worker *workerState) bool {
+	return l.keeper.Status(now, &worker.lease) == lease.Valid
+}
+
+// ConfirmEndpoints takes that discovery has confirmed the endpoint list: every change known to it was
+// passed to UpdateEndpoints.
+func (b *Balancer) ConfirmEndpoints(now int64) {
+	b.advanceClock(now)
+	b.leases.keeper.Confirm(now)
+	b.armTimer()
+}
+
+// LeaseCounts returns the totals of leases and health checks.
+func (b *Balancer) LeaseCounts() LeaseCounts { return b.leases.counts }
+
+// LeaseEnd returns until when a worker may get new work though discovery does not confirm the list any
+// more, in nanoseconds of the clock of events; 0 if it may not.
+func (b *Balancer) LeaseEnd(id WorkerID) int64 {
+	worker := b.endpoints.byID[id]
+	if worker == nil {
+		return 0
+	}
+	return b.leases.keeper.ValidUntil(&worker.lease)
+}
+
+// ConfirmedUntil returns until when the latest confirmation of the endpoint list holds.
+func (b *Balancer) ConfirmedUntil() int64 { return b.leases.keeper.ConfirmedUntil() }
+
+// awaitLease holds a request until its worker has been health checked, if it needs that, and reports
+// whether it does. The worker may have begun to drain since it was last seen to accept work.
+func (b *Balancer) awaitLease(now int64, request *requestState, worker *workerState) bool {
+	if b.leases.isValid(now, worker) {
+		return false
+	}
+	b.leases.counts.Waits++
+	request.awaitingCheck = worker
+	worker.awaitingCheck = append(worker.awaitingCheck, request)
+	b.checkForCall(now, worker)
+	b.scheduleRecheck(request, now+checkWaitLimit)
+	return true
+}
+
+// checkForCall has a worker health checked for a call, unless a check is in flight or has just failed.
+func (b *Balancer) checkForCall(now int64, worker *workerState) {
+	if b.leases.keeper.MayCheck(now, &worker.lease) {
+		b.startCheck(now, worker)
+	}
+}
+
+// startCheck has a worker health checked.
+func (b *Balancer) startCheck(now int64, worker *workerState) {
+	b.leases.keeper.CheckStarted(now, &worker.lease)
+	b.leases.counts.Checks++
+	b.host.HealthCheck(worker.Worker)
+}
+
+// HandleHealthCheck takes the result of a health check, with the load report that came with it.
+// QueueFull says that the worker accepts no work.
+func (b *Balancer) HandleHealthCheck(now int64, id WorkerID, result Result, rtt int64, report []float64) {
+	b.advanceClock(now)
+	defer b.armTimer()
+	worker := b.endpoints.byID[id]
+	if worker == nil {
+		return
+	}
+	if result == OK {
+		b.recordLoadReport(now, worker, report)
+	}
+	b.finishCheck(now, worker, checkResult(result))
+	b.dispatchAfterCheck(now, worker)
+}
+
+// checkResult returns what the result of a health check says of a lease.
+func checkResult(result Result) lease.CheckResult {
+	switch result {
+	case OK:
+		return lease.CheckPassed
+	case QueueFull:
+		return lease.CheckRejected
+	case NotSent, Cancelled:
+		return lease.CheckNotSent
+	case Error, Timeout, ConnectFailed, Reset, NotLoaded, NumResults:
+	}
+	return lease.CheckFailed
+}
+
+// finishCheck takes the result of a health check into the lease of a worker.
+func (b *Balancer) finishCheck(now int64, worker *workerState, result lease.CheckResult) {
+	counts := &b.leases.counts
+	switch result {
+	case lease.CheckRejected:
+		counts.ChecksRejected++
+	case lease.CheckFailed:
+		counts.ChecksFailed++
+	case lease.CheckPassed, lease.CheckNotSent:
+	}
+	startedAt := b.leases.keeper.ProbationSince(&worker.lease)
+	switch b.leases.keeper.RecordCheck(now, &worker.lease, result) {
+	case lease.BeganDraining:
+		counts.Drains++
+		worker.forgetCopies()
+		b.logf(now, "worker %d drains by its own report", worker.Worker)
+	case lease.BeganProbation:
+		counts.Probations++
+		worker.forgetCopies()
+		b.logf(now, "worker %d on probation: it accepts work after an interruption", worker.Worker)
+	case lease.Readmitted:
+		counts.Readmissions++
+		b.readmit(now, worker, startedAt)
+	case lease.Accepting:
+		b.logf(now, "worker %d accepts work again", worker.Worker)
+	case lease.Unchanged:
+	}
+}
+
+// readmit takes that a worker is used again after its probation. It may be another process, which has
+// started no later than its probation began.
+func (b *Balancer) readmit(now int64, worker *workerState, startedAt int64) {
+	worker.Start = startedAt
+	worker.beginAnew()
+	b.slowStart.track(now, worker)
+	b.logf(now, "worker %d readmitted, as just started", worker.Worker)
+}
+
+// dispatchAfterCheck dispatches the requests that waited for a health check of a worker.
+func (b *Balancer) dispatchAfterCheck(now int64, worker *workerState) {
+	waiting := worker.awaitingCheck
+	worker.awaitingCheck = nil
+	for _, request := range waiting {
+		if request.awaitingCheck == worker && !request.done && request.lastInFlight() == nil {
+			b.dispatch(now, request)
+		}
+	}
+}
+
+// renewLeases has the workers health checked that are due for it, as far as the rate of periodic checks
+// allows, each round from where the last one ended. Of a long list only those that may hold copies are
+// checked; the others cannot all be seen in time, and are on probation once they are needed.
+func (b *Balancer) renewLeases(now int64) {
+	l := &b.leases
+	if !l.keeper.Enabled() {
+		return
+	}
+	elapsed := float64(now-l.tokensAt) / 1e9
+	l.tokens, l.tokensAt = min(l.tokens+elapsed*periodicCheckRate, periodicCheckBurst), now
+	workers, interval := b.endpoints.workersWithHolders(), l.keeper.CheckInterval()
+	for range workers {
+		if l.tokens < 1 {
+			return
+		}
+		worker := workers[l.next%len(workers)]
+		l.next = (l.next + 1) % len(workers)
+		if worker.listed && worker.State == Active && l.keeper.CheckDue(now, &worker.lease, interval) {
+			l.tokens--
+			b.startCheck(now, worker)
+		}
+	}
+}
+
+// idleUntil returns when maintenance is due though no request comes: when the endpoint list may have
+// become unconfirmed, or in the usual pace if it is. ok is false if leases are not kept.
+func (b *Balancer) idleUntil(now int64) (at int64, ok bool) {
+	if !b.leases.keeper.Enabled() {
+		return 0, false
+	}
+	round := b.shortestObjective / maintenanceRounds
+	return max(b.leases.keeper.ConfirmedUntil(), now) + round, true
+}
--- a/balancer/loadorders.go
+++ b/balancer/loadorders.go
@@ -12,7 +12,8 @@
 // orderLoad orders a copy of a holder's function, if its worker may get one and the quota allows
 // it, and reports whether it did. Every load order passes it (rules 3 and 5).
 func (b *Balancer) orderLoad(now int64, holder *holderState) bool {
-	if !b.settings.LoadOrders || !b.eligible(now, holder.worker) || !b.loadQuota.take(now) {
+	if !b.settings.LoadOrders || !b.eligible(now, holder.worker) ||
+		!b.leases.isValid(now, holder.worker) || !b.loadQuota.take(now) {
 		return false
 	}
 	b.host.OrderLoad(holder.worker.Worker, holder.function.id, 1)
@@ -53,15 +54,6 @@
 	return min(1, max(b.completionRate(now)*1e9/all, minTrafficShare))
 }
 
-// HandleHealthCheck takes the result of a health check, with the load report that came with it.
-func (b *Balancer) HandleHealthCheck(now int64, id WorkerID, result Result, rtt int64, report []float64) {
-	b.advanceClock(now)
-	if worker := b.endpoints.byID[id]; worker != nil && result == OK {
-		b.recordLoadReport(now, worker, report)
-	}
-	b.armTimer()
-}
-
 // HandleLoadResult takes the result of a load order and dispatches the requests that waited for it.
 func (b *Balancer) HandleLoadResult(now int64, id WorkerID, functionID FuncID, copies int, result Result) {
 	b.advanceClock(now)
@@ -77,6 +69,9 @@
 	sentAt := now
 	if holder := function.holderAt(worker, false); holder != nil {
 		sentAt = holder.orderedAt
+		if result == OK || result == Error {
+			b.leases.keeper.RecordAnswer(&worker.lease, sentAt)
+		}
 		b.finishLoadOrder(now, holder, copies, result)
 	}
 	if result == ConnectFailed || result == Reset {
--- a/balancer/maintenance.go
+++ b/balancer/maintenance.go
@@ -92,6 +92,7 @@
 func (b *Balancer) runMaintenance(now int64) {
 	b.pollEndpoints(now)
 	b.sendGossip(now)
+	b.renewLeases(now)
 	if now-b.timers.sweptAt > b.settings.KeepAlive/maintenanceRounds {
 		b.timers.sweptAt = now
 		b.unloadIdleCopies(now)
@@ -100,6 +101,11 @@
 	b.timers.maintenanceAt = 0
 	if now-b.timers.lastRequestAt < idleObjectives*b.shortestObjective || b.settings.PollEndpoints {
 		b.advanceClock(now)
+		return
+	}
+	if at, ok := b.idleUntil(now); ok {
+		b.timers.maintenanceAt = at
+		b.schedule(at, nil)
 	}
 }
 
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -11,8 +11,9 @@
 	recheckAt       int64
 	streaming       bool // its first byte was sent to the client
 	done            bool
-	orderedLoad     bool // a load was ordered for it
-	countedForQuota bool // it counts toward the quota of load orders
+	orderedLoad     bool         // a load was ordered for it
+	awaitingCheck   *workerState // whose health check it waits for; nil: none
+	countedForQuota bool         // it counts toward the quota of load orders
 }
 
 // attemptState is one send of a request to a worker.
--- a/balancer/result.go
+++ b/balancer/result.go
@@ -80,7 +80,8 @@
 		return false
 	}
 	attempt.holder.orderedAt = now
-	if !b.mayRetryAt(now, attempt.request, attempt.worker) || !b.eligible(now, attempt.worker) {
+	if !b.mayRetryAt(now, attempt.request, attempt.worker) || !b.eligible(now, attempt.worker) ||
+		!b.leases.isValid(now, attempt.worker) {
 		return false
 	}
 	b.sendAttempt(now, attempt.request, attempt.worker, false)
@@ -116,6 +117,13 @@
 			recentFailure{until, result.Result == QueueFull})
 	}
 	switch result.Result {
+	case OK, Error, NotLoaded:
+		b.leases.keeper.RecordAnswer(&attempt.worker.lease, attempt.sentAt)
+	case QueueFull:
+		b.leases.keeper.RecordRejection(now, &attempt.worker.lease)
+	case Timeout, ConnectFailed, Reset, Cancelled, NotSent, NumResults:
+	}
+	switch result.Result {
 	case OK:
 		b.learnFromAnswer(now, attempt, result.Warmth)
 	case Error, NotLoaded, QueueFull:
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -57,6 +57,13 @@
 	PollEndpoints       bool // the endpoint list must be asked for; else it is pushed
 	PollInterval        int64
 
+	// ConfirmInterval is the time between two calls of ConfirmEndpoints while discovery can be reached;
+	// 0: there are none, and a list without updates counts as current.
+	ConfirmInterval int64
+	// EndpointUpdateDelay is the time after which a change of the endpoint list counts as known,
+	// whether its update arrived or not.
+	EndpointUpdateDelay int64
+
 	ResponseSlack     int64
 	DrainGrace        int64
 	SlowStartWindow   int64
@@ -104,6 +111,8 @@
 		{"Cold", s.SlowStartWindow},
 		{"Fall", s.OverloadWindow},
 		{"DrainGrace", s.DrainGrace},
+		{"ConfirmInterval", s.ConfirmInterval},
+		{"EndpointUpdateDelay", s.EndpointUpdateDelay},
 		{"LoadWindow", s.LoadQuotaWindow},
 	} {
 		if setting.value < 0 {
--- a/balancer/worker.go
+++ b/balancer/worker.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "oakthread/outlier"
+import (
+	"oakthread/lease"
+	"oakthread/outlier"
+)
 
 // workerState is what is known of one worker. The fields that each choice reads stand first: in a
 // long list a candidate is in no cache.
@@ -17,9 +20,11 @@
 	pacing
 	slowStartBudget
 	outlierStats outlier.Stats
+	lease        lease.Lease
 	tracking
-	holders  []*holderState
-	reported reportedState
+	holders       []*holderState
+	reported      reportedState
+	awaitingCheck []*requestState // requests that wait for a health check
 }
 
 // candidate is the state of a worker within one choice. A choice is known by its number, so that
@@ -100,6 +105,13 @@
 	w.recentFailures = recent
 }
 
+// beginAnew forgets what was learned of a worker's process, which has been replaced by another one.
+func (w *workerState) beginAnew() {
+	w.forgetCopies()
+	w.slowStartSlot = 0
+	w.outlierStats.Reset()
+}
+
 // forgetCopies ends the belief that a worker holds any copies, after it restarted, left the list or
 // could not be reached.
 func (w *workerState) forgetCopies() {
--- a/cmd/dispatcher/discoveryoutage_test.go
+++ b/cmd/dispatcher/discoveryoutage_test.go
@@ -19,13 +19,19 @@
 	before, lostAt, backAt, end time.Time
 }
 
-// newOutageRig starts a fleet and its clients.
-func newOutageRig(t *testing.T, dispatchers, workers int) *outageRig {
+// newOutageRig starts a fleet and its clients. After a time, four in ten of the models come in a new
+// version, which has to be loaded somewhere; 0: never.
+func newOutageRig(t *testing.T, dispatchers, workers int, newVersionsAfter time.Duration) *outageRig {
 	t.Helper()
 	rig := fleet(t, lab.RigSize{
 		Dispatchers: dispatchers, Workers: workers, Seed: 46,
 		Load: lab.Load{Models: 40, Zipf: 0.8}, Rate: func(int) float64 { return 240 / float64(dispatchers) },
 	})
+	if newVersionsAfter > 0 {
+		for _, clients := range rig.Called {
+			clients.Renew(time.Now().Add(newVersionsAfter))
+		}
+	}
 	rig.Send(t.Context(), nil)
 	span(t, 2*time.Second)
 	return &outageRig{Rig: rig, before: time.Now()}
@@ -110,7 +116,7 @@
 	for _, size := range []struct{ dispatchers, workers int }{{3, 11}, {20, 22}} {
 		t.Run(fmt.Sprint("drain, ", size.dispatchers, " dispatchers"), func(t *testing.T) {
 			t.Parallel()
-			rig := newOutageRig(t, size.dispatchers, size.workers)
+			rig := newOutageRig(t, size.dispatchers, size.workers, 0)
 			rig.lostAt = span(t, 3*time.Second)
 			rig.setDiscovery(t, lab.Freeze)
 			span(t, 500*time.Millisecond)
@@ -134,7 +140,7 @@
 
 func testRestartDuringOutage(t *testing.T) {
 	t.Helper()
-	rig := newOutageRig(t, 3, 8)
+	rig := newOutageRig(t, 3, 8, 19*time.Second)
 	rig.lostAt = span(t, 2*time.Second)
 	rig.setDiscovery(t, lab.Freeze)
 	span(t, 500*time.Millisecond)
--- a/core.go
+++ b/core.go
@@ -20,9 +20,11 @@
 
 	loadLimiter loadOrderLimiter
 
-	ready       atomic.Bool
-	confirmedAt atomic.Int64 // when discovery last confirmed the endpoint list, in nanoseconds of the process clock; 0: never
-	classCount atomic.Int64 // classes that a request may name
+	ready atomic.Bool
+	// confirmedAt and confirmedUntil say when discovery last confirmed the endpoint list and until when
+	// that holds, in nanoseconds of the process clock; 0: never.
+	confirmedAt, confirmedUntil atomic.Int64
+	classCount                  atomic.Int64 // classes that a request may name
 
 	closeOnce sync.Once
 	closing   chan struct{}
--- a/counters.go
+++ b/counters.go
@@ -17,6 +17,8 @@
 	LoadOrders         int64 // load orders handed to Workers
 	LoadOrdersWithheld int64 // load orders of the balancer that were not sent
 
+	Leases balancer.LeaseCounts // health checks, and what they showed
+
 	InvalidPeerMessages int64 // messages of other dispatchers that could not be decoded
 }
 
--- a/endpoints.go
+++ b/endpoints.go
@@ -54,7 +54,21 @@
 // ConfirmEndpoints takes that discovery has confirmed the endpoint list: every change known to it has
 // been passed to UpdateEndpoints.
 func (c *Core) ConfirmEndpoints() {
-	c.confirmedAt.Store(monotime.Now().UnixNano())
+	c.post(func() {
+		now := c.now()
+		c.state.balancer.ConfirmEndpoints(now)
+		c.confirmedAt.Store(now)
+		c.confirmedUntil.Store(c.state.balancer.ConfirmedUntil())
+	})
+}
+
+// leaseHolds reports whether a worker whose lease runs out at a time may get new work now: until then,
+// or as long as discovery confirms the endpoint list. It is safe for concurrent use.
+func (c *Core) leaseHolds(leaseEnd int64) bool {
+	if c.cfg.Settings.ConfirmInterval <= 0 {
+		return true
+	}
+	return monotime.Now().UnixNano() <= max(leaseEnd, c.confirmedUntil.Load())
 }
 
 // EndpointsAge returns the time since discovery last confirmed the endpoint list; ok is false if it
--- a/host.go
+++ b/host.go
@@ -87,6 +87,9 @@
 		ctx, cancel := context.WithTimeout(c.ctx, healthCheckTimeout)
 		defer cancel()
 		reply := c.cfg.Workers.HealthCheck(ctx, endpoint.Endpoint)
+		if reply.Draining {
+			reply.Result = balancer.QueueFull
+		}
 		c.post(func() {
 			c.state.balancer.HandleHealthCheck(c.now(), worker, reply.Result, int64(time.Since(started)), reply.Report)
 		})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,10 @@
 		http2Ended:    make(chan error, 1),
 	}
 	d.settings.MaxInFlight = d.sockets.maxRequests
+	if cfg.Channel != "" || options.File != nil && options.File.EndpointCache != nil {
+		d.settings.ConfirmInterval = int64(platform.HeartbeatInterval)
+		d.settings.EndpointUpdateDelay = int64(platform.EndpointUpdateDelay)
+	}
 	d.background, d.stopBackground = context.WithCancel(context.Background())
 	return d
 }
--- a/internal/platform/event.go
+++ b/internal/platform/event.go
@@ -16,7 +16,7 @@
 )
 
 // Event is one line of the command channel: a change of the endpoint list, or a heartbeat, which consists
-// of the number of the last event.
+// of the number of the last event, bare or as the only field of an object.
 type Event struct {
 	Cursor    int64
 	Heartbeat bool
@@ -73,7 +73,8 @@
 		Update: oakthread.EndpointUpdate{Kind: balancer.EndpointsDelta},
 	}
 	if decoded.Nodes == nil {
-		return event, nil // of an unknown kind: only its number counts
+		event.Heartbeat = isNumberAlone(text)
+		return event, nil // else of an unknown kind: only its number counts
 	}
 	if decoded.Nodes.Complete {
 		event.Update.Kind = balancer.EndpointsSnapshot
@@ -84,6 +85,12 @@
 	return event, nil
 }
 
+// isNumberAlone reports whether an object on the channel has its number and nothing else.
+func isNumberAlone(text string) bool {
+	var fields map[string]json.RawMessage
+	return json.Unmarshal([]byte(text), &fields) == nil && len(fields) == 1
+}
+
 // addMember adds the executor at an index of the event, or the reason why it cannot be used.
 func (e *Event) addMember(index int, member listedMember, settings *wire.Settings) {
 	if member.ID == "" {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -16,6 +16,15 @@
 	"oakthread/internal/wire"
 )
 
+// Times that the platform states of its command channel.
+const (
+	// HeartbeatInterval is the time between two heartbeats.
+	HeartbeatInterval = time.Second
+	// EndpointUpdateDelay is the time after which a change of the endpoint list counts as known to a
+	// dispatcher, whether its event arrived or not.
+	EndpointUpdateDelay = 7 * time.Second
+)
+
 const (
 	watchDialTimeout = time.Second
 	// watchReadTimeout ends a connection on which nothing arrives: discovery writes a line every second.
--- a/internal/platform/watchstream_test.go
+++ b/internal/platform/watchstream_test.go
@@ -22,9 +22,10 @@
 	watch := discovery.nextWatch(0)
 	watch.send(t, eventLineText(1, memberText(1, "Ready")))
 	assert.Equal(t, "update 1 of , 1 endpoints, complete true", <-events)
-	for range 5 { // longer than watchReadTimeout
+	bare, object := "1\n", "{\"cursor\":1}\n"
+	for _, heartbeat := range []string{bare, object, bare, object, bare} { // longer than watchReadTimeout
 		time.Sleep(watchReadTimeout / 4)
-		watch.send(t, "1\n")
+		watch.send(t, heartbeat)
 		assert.Equal(t, "current", <-events)
 	}
 	select {
--- /dev/null
+++ b/lease/check.go
@@ -0,0 +1,129 @@
+package lease
+
+// CheckResult is the result of a health check.
+type CheckResult int
+
+// The results.
+const (
+	CheckPassed   CheckResult = iota // the worker accepts work
+	CheckRejected                    // it says that it accepts none
+	CheckFailed                      // it did not answer, or not as expected
+	CheckNotSent                     // nothing was sent
+)
+
+// Change is what the result of a health check changed of a worker.
+type Change int
+
+// The changes.
+const (
+	Unchanged      Change = iota
+	BeganDraining         // it drains, by its own report
+	BeganProbation        // it accepts work again, and discovery may still report its end
+	Readmitted            // its probation is over, it counts as started when that began
+	Accepting             // it accepts work again, as the confirmed list has it
+)
+
+// CheckDue reports whether a worker is to be health checked without a call for it: it drains, it
+// rejected a call or a check, or, while the list is unconfirmed, its latest check failed or it went
+// unseen for an interval.
+func (k *Keeper) CheckDue(now int64, l *Lease, interval int64) bool {
+	if !k.Enabled() || !k.settings.HealthChecks || l.checking || now < l.nextCheckAt {
+		return false
+	}
+	switch {
+	case l.draining:
+		return now-l.checkSentAt >= drainCheckInterval
+	case l.checkWanted, l.rejections > 0:
+		return true
+	case k.Confirmed(now):
+		return false
+	case l.failures > 0:
+		return true
+	}
+	return now-max(k.lastSeen(l), l.checkSentAt) >= interval
+}
+
+// MayCheck reports whether a check for a call may be sent now.
+func (k *Keeper) MayCheck(now int64, l *Lease) bool { return !l.checking && now >= l.nextCheckAt }
+
+// CheckInterval returns the time between two periodic checks of a worker while the list is
+// unconfirmed, in nanoseconds. Many dispatchers check more rarely, as far as the worker is still seen
+// in time by each.
+func (k *Keeper) CheckInterval() int64 {
+	shared := int64(k.settings.Dispatchers) * 1e9 / workerCheckRate
+	longest := int64(float64(k.maxGap()) / checksPerGap)
+	return min(max(minCheckInterval, shared), max(longest, minCheckInterval/10))
+}
+
+// CheckStarted takes that a health check is being sent.
+func (k *Keeper) CheckStarted(now int64, l *Lease) {
+	l.checking, l.checkWanted, l.checkSentAt = true, false, now
+}
+
+// RecordCheck takes the result of the health check in flight, and returns what it changed.
+func (k *Keeper) RecordCheck(now int64, l *Lease, result CheckResult) Change {
+	if !l.checking {
+		return Unchanged
+	}
+	l.checking = false
+	switch result {
+	case CheckPassed:
+		return k.checkPassed(now, l)
+	case CheckRejected:
+		return k.checkRejected(now, l)
+	case CheckFailed:
+		l.nextCheckAt = now + min(minRetryDelay<<min(l.failures, 10), maxRetryDelay)
+		l.failures++
+	case CheckNotSent:
+		l.nextCheckAt = now + minRetryDelay
+	}
+	return Unchanged
+}
+
+// checkPassed takes that a worker accepted work when its check was sent.
+func (k *Keeper) checkPassed(now int64, l *Lease) Change {
+	wasDraining, wasOnProbation := l.draining, k.onProbation(l)
+	l.draining, l.rejections, l.failures = false, 0, 0
+	switch {
+	case wasDraining && k.Confirmed(now):
+		l.verifiedAt = max(l.verifiedAt, l.checkSentAt)
+		return Accepting
+	case wasDraining:
+		l.verifiedAt, l.probationSince = max(l.verifiedAt, l.checkSentAt), l.checkSentAt
+		return BeganProbation
+	}
+	k.verify(l, l.checkSentAt)
+	switch {
+	case !wasOnProbation && k.onProbation(l):
+		return BeganProbation
+	case wasOnProbation && l.checkSentAt-l.probationSince >= k.settings.UpdateDelay+settleDelay:
+		l.probationSince = 0
+		return Readmitted
+	}
+	return Unchanged
+}
+
+// checkRejected takes that a worker rejected a check. A second one confirms it: a worker that is
+// short of room for checks may reject one.
+func (k *Keeper) checkRejected(now int64, l *Lease) Change {
+	l.rejections++
+	l.failures = 0
+	if l.rejections == 1 {
+		l.nextCheckAt = now + confirmDrainDelay
+		return Unchanged
+	}
+	l.nextCheckAt = now + drainCheckInterval
+	if l.draining {
+		return Unchanged
+	}
+	l.draining, l.probationSince = true, 0
+	return BeganDraining
+}
+
+// ProbationSince returns since when a worker accepts work again; 0 if it is not on probation.
+func (k *Keeper) ProbationSince(l *Lease) int64 {
+	if !k.onProbation(l) {
+		return 0
+	}
+	return l.probationSince
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,208 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+const (
+	second = int64(time.Second)
+	ms     = int64(time.Millisecond)
+)
+
+// platformSettings are those of the platform's page.
+func platformSettings() Settings {
+	return Settings{
+		ConfirmInterval: second, Grace: second, UpdateDelay: 7 * second, HealthChecks: true, Dispatchers: 3,
+	}
+}
+
+// confirmedKeeper returns a keeper whose list was confirmed at a time, and a worker of it.
+func confirmedKeeper(settings Settings, at int64) (*Keeper, *Lease) {
+	keeper, worker := New(settings), &Lease{}
+	keeper.Listed(worker, true, true)
+	keeper.Confirm(at)
+	return keeper, worker
+}
+
+// check makes a health check that is answered at once.
+func check(k *Keeper, at int64, l *Lease, result CheckResult) Change {
+	k.CheckStarted(at, l)
+	return k.RecordCheck(at, l, result)
+}
+
+func TestStatusWithoutNews(t *testing.T) {
+	keeper, worker := confirmedKeeper(platformSettings(), 10*second)
+	assert.Equal(t, Valid, keeper.Status(11*second+250*ms, worker), "confirmed")
+	assert.Equal(t, Expired, keeper.Status(11*second+251*ms, worker), "the confirmation has run out")
+	keeper.RecordAnswer(worker, 11*second)
+	assert.Equal(t, Valid, keeper.Status(12*second, worker), "an answer")
+	assert.Equal(t, Expired, keeper.Status(12*second+1, worker))
+	assert.Equal(t, Unchanged, check(keeper, 13*second, worker, CheckPassed))
+	assert.Equal(t, Valid, keeper.Status(14*second, worker), "a check")
+	check(keeper, 15*second, worker, CheckFailed)
+	assert.Equal(t, Suspect, keeper.Status(15*second, worker), "nobody waits for a worker that did not answer")
+	assert.False(t, keeper.CheckDue(15*second, worker, second), "it is given a moment")
+	assert.True(t, keeper.CheckDue(15*second+minRetryDelay, worker, second))
+	keeper.Confirm(16 * second)
+	assert.Equal(t, Valid, keeper.Status(16*second, worker))
+}
+
+func TestLeasesAreOffWithoutConfirmations(t *testing.T) {
+	settings := platformSettings()
+	settings.ConfirmInterval = 0
+	keeper, worker := New(settings), &Lease{}
+	assert.Equal(t, Valid, keeper.Status(3600*second, worker))
+	keeper.RecordRejection(3600*second, worker)
+	assert.False(t, keeper.CheckDue(7200*second, worker, second))
+}
+
+// A worker drains once two checks in a row were rejected, confirmed list or not. A check that passes
+// ends that at once where the list is confirmed, which then still calls the worker active.
+func TestDrainByOwnReport(t *testing.T) {
+	keeper, worker := confirmedKeeper(platformSettings(), 10*second)
+	keeper.RecordRejection(10*second, worker)
+	assert.True(t, keeper.CheckDue(10*second, worker, second), "a rejection is looked into")
+	assert.Equal(t, Unchanged, check(keeper, 10*second, worker, CheckRejected))
+	assert.Equal(t, Suspect, keeper.Status(10*second, worker))
+	assert.False(t, keeper.CheckDue(10*second+confirmDrainDelay-1, worker, second))
+	assert.True(t, keeper.CheckDue(10*second+confirmDrainDelay, worker, second))
+	assert.Equal(t, BeganDraining, check(keeper, 10*second+confirmDrainDelay, worker, CheckRejected))
+	assert.Equal(t, Draining, keeper.Status(10*second+100*ms, worker))
+	keeper.RecordAnswer(worker, 10*second)
+	assert.Equal(t, Draining, keeper.Status(10*second+100*ms, worker), "an answer to an earlier call")
+	assert.True(t, keeper.CheckDue(11*second+confirmDrainDelay, worker, second))
+	assert.Equal(t, Accepting, check(keeper, 11*second+100*ms, worker, CheckPassed))
+	assert.Equal(t, Valid, keeper.Status(11*second+100*ms, worker))
+}
+
+// drained returns a keeper whose list went unconfirmed, and a worker that drains.
+func drained() (*Keeper, *Lease) {
+	keeper, worker := confirmedKeeper(platformSettings(), 10*second)
+	check(keeper, 12*second, worker, CheckRejected)
+	check(keeper, 12*second+confirmDrainDelay, worker, CheckRejected)
+	return keeper, worker
+}
+
+// Without a confirmed list a worker that drained is used again only once discovery must have told of
+// its start, and only if it was seen all the time since.
+func TestProbation(t *testing.T) {
+	keeper, worker := drained()
+	assert.Equal(t, BeganProbation, check(keeper, 20*second, worker, CheckPassed))
+	for at := 21 * second; at < 30*second; at += second {
+		assert.Equal(t, Probation, keeper.Status(at, worker))
+		assert.Equal(t, Unchanged, check(keeper, at, worker, CheckPassed))
+	}
+	assert.Equal(t, 20*second, keeper.ProbationSince(worker))
+	assert.Equal(t, Readmitted, check(keeper, 30*second, worker, CheckPassed))
+	assert.Equal(t, Valid, keeper.Status(30*second, worker))
+
+	keeper, worker = drained()
+	check(keeper, 20*second, worker, CheckPassed)
+	check(keeper, 27*second, worker, CheckPassed)
+	assert.Equal(t, 27*second, keeper.ProbationSince(worker), "it went unseen for 7 s and begins again")
+
+	keeper, worker = drained()
+	check(keeper, 20*second, worker, CheckPassed)
+	keeper.Confirm(21 * second)
+	assert.Equal(t, Valid, keeper.Status(21*second, worker), "discovery is back")
+}
+
+// A worker that went unseen may have ended and started again: it is put on probation. One that is seen
+// for the first time is not.
+func TestUnseenWorkerIsPutOnProbation(t *testing.T) {
+	keeper, worker := confirmedKeeper(platformSettings(), 10*second)
+	assert.Equal(t, Unchanged, check(keeper, 16*second, worker, CheckPassed), "6 s unseen")
+	assert.Equal(t, BeganProbation, check(keeper, 22*second+1, worker, CheckPassed))
+	assert.Zero(t, keeper.ValidUntil(worker))
+
+	never, first := New(platformSettings()), &Lease{}
+	assert.Equal(t, Expired, never.Status(100*second, first))
+	assert.Equal(t, Unchanged, check(never, 100*second, first, CheckPassed))
+	assert.Equal(t, Valid, never.Status(100*second, first))
+}
+
+// An entry of the list ends a worker's own report of draining only if it tells more than was known.
+func TestListedAgain(t *testing.T) {
+	keeper, worker := drained()
+	keeper.Listed(worker, true, false)
+	assert.Equal(t, Draining, keeper.Status(13*second, worker), "the same entry again")
+	keeper.Listed(worker, true, true)
+	assert.NotEqual(t, Draining, keeper.Status(13*second, worker), "it restarted")
+	keeper, worker = drained()
+	keeper.Listed(worker, false, false)
+	keeper.Listed(worker, true, false)
+	assert.NotEqual(t, Draining, keeper.Status(13*second, worker), "it drained, and is active again")
+}
+
+// Where health checks are not allowed, a worker is used until it rejects a call and accepts none after.
+func TestWithoutHealthChecks(t *testing.T) {
+	settings := platformSettings()
+	settings.HealthChecks = false
+	keeper, worker := confirmedKeeper(settings, 10*second)
+	assert.Equal(t, Valid, keeper.Status(20*second, worker))
+	keeper.RecordRejection(20*second, worker)
+	assert.Equal(t, Suspect, keeper.Status(20*second, worker))
+	assert.False(t, keeper.CheckDue(25*second, worker, second))
+	keeper.RecordAnswer(worker, 21*second)
+	assert.Equal(t, Valid, keeper.Status(30*second, worker))
+}
+
+// Each worker is seen in time by each dispatcher, however many there are.
+func TestCheckIntervalFitsTheGap(t *testing.T) {
+	for _, dispatchers := range []int{1, 3, 58, 300, 900, 100_000} {
+		settings := platformSettings()
+		settings.Dispatchers = dispatchers
+		keeper := New(settings)
+		assert.LessOrEqual(t, 2*keeper.CheckInterval(), keeper.maxGap(), dispatchers)
+		assert.GreaterOrEqual(t, keeper.CheckInterval(), minCheckInterval, dispatchers)
+	}
+}
+
+// Whatever happens, a worker that neither discovery, an answer nor a check showed to accept work within
+// the grace gets nothing new while the list is unconfirmed, and one that drains by its own report gets
+// nothing at all.
+func TestNoLeaseWithoutEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := platformSettings()
+		settings.Grace = rapid.Int64Range(100, 3000).Draw(t, "grace") * ms
+		keeper, worker := confirmedKeeper(settings, second)
+		now, seen, rejected := second, second, 0
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += rapid.Int64Range(1, 2500).Draw(t, "pause") * ms
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				check(keeper, now, worker, CheckPassed)
+				seen, rejected = now, 0
+			case 1:
+				check(keeper, now, worker, CheckRejected)
+				rejected++
+			case 2:
+				check(keeper, now, worker, CheckFailed)
+			case 3:
+				keeper.RecordRejection(now, worker)
+			case 4:
+				if rejected == 0 && keeper.Status(now, worker) == Valid {
+					keeper.RecordAnswer(worker, now)
+					seen = now
+				}
+			case 5:
+				keeper.Confirm(now)
+				seen = now
+			}
+			later := now + rapid.Int64Range(0, 4000).Draw(t, "later")*ms
+			if keeper.Status(later, worker) != Valid {
+				continue
+			}
+			if rejected > 0 {
+				t.Fatalf("valid after %d rejected checks", rejected)
+			}
+			if !keeper.Confirmed(later) && later-seen > settings.Grace {
+				t.Fatalf("valid %v after it was seen", time.Duration(later-seen))
+			}
+		}
+	})
+}
--- a/loadorder.go
+++ b/loadorder.go
@@ -84,6 +84,8 @@
 func (c *Core) startLoad(load *inFlightLoad) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	load.caller, load.cancel = c.ctx, cancel
+	leaseEnd := c.state.balancer.LeaseEnd(load.order.Worker.ID)
+	load.leaseHolds = func() bool { return load.order.Count == 0 || c.leaseHolds(leaseEnd) }
 	load.order.BeforeWrite = func() bool {
 		return c.loadLimiter.write(load.reservation, time.Now()) && load.begin()
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,6 +20,7 @@
 	TooRecent                 // a request may be on its way
 	CallerLeft                // the client has closed its connection or cancelled the call
 	RequestCompleted          // the request has its final answer, or the worker must get nothing new
+	LeaseExpired              // the worker may have begun to drain, and discovery cannot be asked
 	BudgetStale               // the time left, as stated to the worker, was computed too long ago
 	MayHaveRun                // an attempt may have run, and the call must not run twice
 	AttemptInFlight           // an attempt has not ended, and the settings allow no second one beside it
@@ -47,6 +48,8 @@
 		return "caller left"
 	case RequestCompleted:
 		return "request over"
+	case LeaseExpired:
+		return "lease expired"
 	case BudgetStale:
 		return "time told is over"
 	case MayHaveRun:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -89,6 +89,7 @@
 func TestReasonTexts(t *testing.T) {
 	texts := []string{
 		"allowed", "call in hand", "request begun", "bytes unread", "too recent", "caller left", "request over",
+		"lease expired",
 		"time told is over", "may have run", "attempt out", "no attempts left", "out of time", "ration spent",
 		"answer awaited", "connection spent",
 	}
--- a/rules/write.go
+++ b/rules/write.go
@@ -15,9 +15,12 @@
 
 // Write is a request about to be written to a worker.
 type Write struct {
-	CallerLeft bool          // the client has closed its connection or cancelled the call
-	Revoked    bool          // the request has ended, or its worker drains, was removed or has restarted
-	BudgetAge  time.Duration // since the time left that the request states was computed; 0: it states none
+	CallerLeft bool // the client has closed its connection or cancelled the call
+	Revoked    bool // the request has ended, or its worker drains, was removed or has restarted
+	// LeaseExpired says that discovery does not confirm the endpoint list, and that nothing has shown
+	// lately that the worker accepts work.
+	LeaseExpired bool
+	BudgetAge    time.Duration // since the time left that the request states was computed; 0: it states none
 }
 
 // MayWrite decides whether the first byte of a request to a worker may be written.
@@ -30,6 +33,8 @@
 		return CallerLeft
 	case write.Revoked && !mutant.On(mutant.Revoked) && !ignoreCaller:
 		return RequestCompleted
+	case write.LeaseExpired:
+		return LeaseExpired
 	case write.BudgetAge > maxBudgetAge:
 		return BudgetStale
 	}
--- a/writepermission.go
+++ b/writepermission.go
@@ -17,12 +17,13 @@
 
 // writePermission decides whether the first byte of an attempt or load order may be written. It is
 // revoked when the caller leaves, when the request completes, and when the worker drains, is
-// removed or restarts. Whichever comes first, the revocation or the write, wins: a revocation after
-// the first byte has no effect. It is safe for concurrent use.
+// removed or restarts; it is denied once the worker's lease has run out. Whichever comes first, the
+// revocation or the write, wins: a revocation after the first byte has no effect. It is safe for concurrent use.
 type writePermission struct {
 	caller     context.Context         // ends when the caller leaves
 	callerGone func() bool             // reports whether the caller has left; nil if only the context shows it
 	cancel     context.CancelCauseFunc // ends the attempt
+	leaseHolds func() bool             // reports whether the worker's lease holds; nil if it needs none
 
 	mu             sync.Mutex
 	begun, revoked bool
@@ -33,10 +34,14 @@
 func (p *writePermission) begin() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.begun = rules.MayWrite(rules.Write{CallerLeft: p.callerLeft(), Revoked: p.revoked}).OK()
+	write := rules.Write{CallerLeft: p.callerLeft(), Revoked: p.revoked, LeaseExpired: p.leaseExpired()}
+	p.begun = rules.MayWrite(write).OK()
 	return p.begun
 }
 
+// leaseExpired reports whether the worker's lease has run out.
+func (p *writePermission) leaseExpired() bool { return p.leaseHolds != nil && !p.leaseHolds() }
+
 // callerLeft reports whether the caller has left, by its context or by its connection.
 func (p *writePermission) callerLeft() bool {
 	return p.caller.Err() != nil || p.callerGone != nil && p.callerGone()
