Workers are believed by what they show, also while heartbeats go on

Cause: a heartbeat was taken for a confirmation that no worker drains, and the list of a start for a current one; discovery may be cut off from what it knows while its channel goes on. Change: lease.Trust: leases are renewed by answers and health checks alone and last 7 s while heartbeats come, the grace while the watch is silent; as soon as a worker drains that the list has as active, every call needs one; after 7 s workers are watched as in silence; else checks of unseen workers are a precaution within 0.0015 of the result. A rejection is followed by a check unless the worker accepts a later call.

--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "math"
+import (
+	"math"
+
+	"oakthread/lease"
+)
 
 const (
 	// ringWindow is how many places on the ring a choice in a long list examines, and how many
@@ -35,7 +39,7 @@
 	workers := b.endpoints.ring.Window(b.choice.examined[:0], mix64(key), 0, ringWindow)
 	preferred := len(workers)
 	workers = b.endpoints.appendSample(workers, b.rng)
-	if !b.leases.keeper.Confirmed(now) {
+	if b.leases.keeper.Trust(now) >= lease.Outdated {
 		workers = b.appendTracked(workers)
 	}
 	representative := len(workers)
@@ -45,7 +49,7 @@
 }
 
 // appendTracked appends workers of a long list whose leases are renewed, from a random one on: while
-// the list is unconfirmed, most of those that a sample draws may not be used.
+// workers are watched, most of those that a sample draws may not be used.
 func (b *Balancer) appendTracked(workers []*workerState) []*workerState {
 	tracked := b.endpoints.workersWithHolders()
 	first := b.rng.IntN(len(tracked) + 1)
--- a/balancer/hedge.go
+++ b/balancer/hedge.go
@@ -41,7 +41,7 @@
 		b.scheduleRecheck(request, now+b.shortestObjective/maintenanceRounds)
 		return
 	}
-	if !b.leases.isValid(now, worker) {
+	if !b.leases.mayUseUnchecked(now, worker) {
 		b.checkForCall(now, worker)
 		b.scheduleRecheck(request, now+hedgeCheckDelay)
 		return
--- a/balancer/lease.go
+++ b/balancer/lease.go
@@ -1,27 +1,34 @@
 package balancer
 
-import (
-	"oakthread/lease"
-)
+import "oakthread/lease"
 
 const (
-	// periodicCheckRate is how many periodic health checks a second this dispatcher makes at most, over
-	// all workers. That is enough to see each of the 256 workers of a short list in time.
-	periodicCheckRate = 50.0
-	// periodicCheckBurst is how many of them may be made at once.
-	periodicCheckBurst = 10.0
+	// watchCheckRate is how many periodic health checks a second this dispatcher makes at most, over all
+	// workers. That is enough to see each of the 256 workers of a short list in time.
+	watchCheckRate = 50.0
+	// watchCheckBurst is how many of them may be made at once.
+	watchCheckBurst = 10.0
+	// precautionCost is the share of the result that checks of unseen workers may cost, by the price of
+	// a check for each request.
+	precautionCost = 0.0015
+	// minPrecautionShare and maxPrecautionShare bound the checks of unseen workers for each request.
+	minPrecautionShare, maxPrecautionShare = 0.02, 0.5
+	// precautionBurst is how many checks of unseen workers may be made at once.
+	precautionBurst = 10.0
 	// checkWaitLimit is after how many nanoseconds a request that waits for a health check is looked at
 	// again even if no result has come.
 	checkWaitLimit = int64(300e6)
 )
 
-// leaseState holds the leases of the workers, and the rate of health checks that renew them.
+// leaseState holds the leases of the workers, and the rates of health checks that renew them.
 type leaseState struct {
-	keeper   *lease.Keeper
-	tokens   float64 // periodic checks that may be made now
-	tokensAt int64
-	next     int // index in the list from which the next round goes on
-	counts   LeaseCounts
+	keeper      *lease.Keeper
+	watch       float64 // periodic checks that may be made now
+	watchAt     int64
+	next        int     // index in the list from which the next round goes on
+	precautions float64 // checks of unseen workers that may be made now
+	share       float64 // of those, earned with each request
+	counts      LeaseCounts
 }
 
 // LeaseCounts are totals since the start.
@@ -37,27 +44,56 @@
 
 // newLeaseState returns the leases of a list that is not confirmed yet.
 func newLeaseState(s *Settings) leaseState {
-	return leaseState{keeper: lease.New(lease.Settings{
+	keeper := lease.New(lease.Settings{
 		ConfirmInterval: s.ConfirmInterval,
 		Grace:           s.DrainGrace,
 		UpdateDelay:     s.EndpointUpdateDelay,
 		HealthChecks:    s.HealthChecks,
 		Dispatchers:     s.Dispatchers,
-	})}
+	})
+	share := maxPrecautionShare
+	if s.ProbePrice > 0 {
+		share = min(max(precautionCost/s.ProbePrice, minPrecautionShare), maxPrecautionShare)
+	}
+	return leaseState{keeper: keeper, share: share, precautions: precautionBurst}
 }
 
+// earn adds what one request allows of checks of unseen workers.
+func (l *leaseState) earn() { l.precautions = min(l.precautions+l.share, precautionBurst) }
+
 // mayUse reports whether a worker may be chosen: it may get new work, perhaps after a health check.
 func (l *leaseState) mayUse(now int64, worker *workerState) bool {
+	switch l.keeper.Status(now, &worker.lease) {
+	case lease.Valid, lease.Unseen, lease.Expired:
+		return true
+	case lease.Suspect, lease.Draining, lease.Probation:
+	}
+	return false
+}
+
+// mayUseUnchecked reports whether a worker may get new work without a health check.
+func (l *leaseState) mayUseUnchecked(now int64, worker *workerState) bool {
 	status := l.keeper.Status(now, &worker.lease)
-	return status == lease.Valid || status == lease.Expired
+	return status == lease.Valid || status == lease.Unseen
 }
 
-// isValid reports whether a worker may get new work at once.
-func (l *leaseState) isValid(now int64, worker *workerState) bool {
-	return l.keeper.Status(now, &worker.lease) == lease.Valid
+// needsCheck reports whether a worker is to be health checked before it gets a call: it must be, or it
+// is unseen and there is room for the check.
+func (l *leaseState) needsCheck(now int64, worker *workerState) bool {
+	switch l.keeper.Status(now, &worker.lease) {
+	case lease.Valid:
+		return false
+	case lease.Unseen:
+		if l.precautions < 1 || !l.keeper.MayCheck(now, &worker.lease) {
+			return false
+		}
+		l.precautions--
+	case lease.Expired, lease.Suspect, lease.Draining, lease.Probation:
+	}
+	return true
 }
 
-// ConfirmEndpoints takes that discovery has confirmed the endpoint list: every change known to it was
+// ConfirmEndpoints takes a heartbeat of discovery: every change of the endpoint list that it has told was
 // passed to UpdateEndpoints.
 func (b *Balancer) ConfirmEndpoints(now int64) {
 	b.advanceClock(now)
@@ -68,23 +104,25 @@
 // LeaseCounts returns the totals of leases and health checks.
 func (b *Balancer) LeaseCounts() LeaseCounts { return b.leases.counts }
 
-// LeaseEnd returns until when a worker may get new work though discovery does not confirm the list any
-// more, in nanoseconds of the clock of events; 0 if it may not.
-func (b *Balancer) LeaseEnd(id WorkerID) int64 {
+// LeaseEnd returns until when a worker may get new work, in nanoseconds of the clock of events.
+func (b *Balancer) LeaseEnd(id WorkerID) lease.End {
 	worker := b.endpoints.byID[id]
 	if worker == nil {
-		return 0
+		return lease.End{}
 	}
-	return b.leases.keeper.ValidUntil(&worker.lease)
+	return b.leases.keeper.End(&worker.lease)
 }
 
-// ConfirmedUntil returns until when the latest confirmation of the endpoint list holds.
-func (b *Balancer) ConfirmedUntil() int64 { return b.leases.keeper.ConfirmedUntil() }
+// ListTerms returns when the next heartbeat of discovery is overdue, and until when the endpoint list is
+// current by what is known now; 0 if it is not.
+func (b *Balancer) ListTerms() (heartbeatUntil, currentUntil int64) {
+	return b.leases.keeper.HeartbeatUntil(), b.leases.keeper.CurrentUntil()
+}
 
 // awaitLease holds a request until its worker has been health checked, if it needs that, and reports
 // whether it does. The worker may have begun to drain since it was last seen to accept work.
 func (b *Balancer) awaitLease(now int64, request *requestState, worker *workerState) bool {
-	if b.leases.isValid(now, worker) {
+	if !b.leases.needsCheck(now, worker) {
 		return false
 	}
 	b.leases.counts.Waits++
@@ -162,8 +200,6 @@
 	case lease.Readmitted:
 		counts.Readmissions++
 		b.readmit(now, worker, startedAt)
-	case lease.Accepting:
-		b.logf(now, "worker %d accepts work again", worker.Worker)
 	case lease.Unchanged:
 	}
 }
@@ -196,22 +232,45 @@
 	if !l.keeper.Enabled() {
 		return
 	}
-	elapsed := float64(now-l.tokensAt) / 1e9
-	l.tokens, l.tokensAt = min(l.tokens+elapsed*periodicCheckRate, periodicCheckBurst), now
+	b.detectContradictions(now)
+	elapsed := float64(now-l.watchAt) / 1e9
+	l.watch, l.watchAt = min(l.watch+elapsed*watchCheckRate, watchCheckBurst), now
 	workers, interval := b.endpoints.workersWithHolders(), l.keeper.CheckInterval()
 	for range workers {
-		if l.tokens < 1 {
+		if l.watch < 1 {
 			return
 		}
 		worker := workers[l.next%len(workers)]
 		l.next = (l.next + 1) % len(workers)
 		if worker.listed && worker.State == Active && l.keeper.CheckDue(now, &worker.lease, interval) {
-			l.tokens--
+			l.watch--
 			b.startCheck(now, worker)
 		}
 	}
 }
 
+// detectContradictions looks for workers that contradict the endpoint list.
+func (b *Balancer) detectContradictions(now int64) {
+	keeper, contradicted, proven := b.leases.keeper, false, false
+	for _, worker := range b.endpoints.listed {
+		if worker.State != Active || !keeper.Interrupted(&worker.lease) {
+			continue
+		}
+		contradicted = true
+		proven = proven || keeper.ProvesOutdated(now, &worker.lease)
+	}
+	wasOutdated := keeper.Trust(now) == lease.Outdated
+	if !keeper.SetContradicted(now, contradicted, proven) {
+		return
+	}
+	switch isOutdated := keeper.Trust(now) == lease.Outdated; {
+	case isOutdated && !wasOutdated:
+		b.logf(now, "endpoint list outdated: a worker has drained for longer than discovery takes to tell")
+	case wasOutdated && !isOutdated:
+		b.logf(now, "endpoint list no longer outdated")
+	}
+}
+
 // idleUntil returns when maintenance is due though no request comes: when the endpoint list may have
 // become unconfirmed, or in the usual pace if it is. ok is false if leases are not kept.
 func (b *Balancer) idleUntil(now int64) (at int64, ok bool) {
@@ -219,5 +278,5 @@
 		return 0, false
 	}
 	round := b.shortestObjective / maintenanceRounds
-	return max(b.leases.keeper.ConfirmedUntil(), now) + round, true
+	return max(b.leases.keeper.HeartbeatUntil(), now) + round, true
 }
--- a/balancer/loadorders.go
+++ b/balancer/loadorders.go
@@ -13,7 +13,7 @@
 // it, and reports whether it did. Every load order passes it (rules 3 and 5).
 func (b *Balancer) orderLoad(now int64, holder *holderState) bool {
 	if !b.settings.LoadOrders || !b.eligible(now, holder.worker) ||
-		!b.leases.isValid(now, holder.worker) || !b.loadQuota.take(now) {
+		!b.leases.mayUseUnchecked(now, holder.worker) || !b.loadQuota.take(now) {
 		return false
 	}
 	b.host.OrderLoad(holder.worker.Worker, holder.function.id, 1)
--- a/balancer/result.go
+++ b/balancer/result.go
@@ -81,7 +81,7 @@
 	}
 	attempt.holder.orderedAt = now
 	if !b.mayRetryAt(now, attempt.request, attempt.worker) || !b.eligible(now, attempt.worker) ||
-		!b.leases.isValid(now, attempt.worker) {
+		!b.leases.mayUseUnchecked(now, attempt.worker) {
 		return false
 	}
 	b.sendAttempt(now, attempt.request, attempt.worker, false)
--- a/core.go
+++ b/core.go
@@ -21,9 +21,9 @@
 	loadLimiter loadOrderLimiter
 
 	ready atomic.Bool
-	// confirmedAt and confirmedUntil say when discovery last confirmed the endpoint list and until when
-	// that holds, in nanoseconds of the process clock; 0: never.
-	confirmedAt, confirmedUntil atomic.Int64
+	// Of the endpoint list, in nanoseconds of the process clock, 0 for never: when discovery last
+	// confirmed it, when it does so again at the latest, and until when the list counts as current.
+	confirmedAt, heartbeatUntil, currentUntil atomic.Int64
 	classCount                  atomic.Int64 // classes that a request may name
 
 	closeOnce sync.Once
--- a/endpoints.go
+++ b/endpoints.go
@@ -6,6 +6,7 @@
 
 	"oakthread/balancer"
 	"oakthread/internal/monotime"
+	"oakthread/lease"
 )
 
 // Endpoint is the entry of a worker in the endpoint list.
@@ -58,17 +59,21 @@
 		now := c.now()
 		c.state.balancer.ConfirmEndpoints(now)
 		c.confirmedAt.Store(now)
-		c.confirmedUntil.Store(c.state.balancer.ConfirmedUntil())
+		heartbeatUntil, currentUntil := c.state.balancer.ListTerms()
+		c.heartbeatUntil.Store(heartbeatUntil)
+		c.currentUntil.Store(currentUntil)
 	})
 }
 
-// leaseHolds reports whether a worker whose lease runs out at a time may get new work now: until then,
-// or as long as discovery confirms the endpoint list. It is safe for concurrent use.
-func (c *Core) leaseHolds(leaseEnd int64) bool {
+// leaseHolds reports whether a worker may get new work now, by the end of its lease. It is safe for
+// concurrent use.
+func (c *Core) leaseHolds(end lease.End) bool {
 	if c.cfg.Settings.ConfirmInterval <= 0 {
 		return true
 	}
-	return monotime.Now().UnixNano() <= max(leaseEnd, c.confirmedUntil.Load())
+	now := monotime.Now().UnixNano()
+	return now <= c.currentUntil.Load() || now <= end.Silent ||
+		now <= end.Heartbeats && now <= c.heartbeatUntil.Load()
 }
 
 // EndpointsAge returns the time since discovery last confirmed the endpoint list; ok is false if it
--- a/lease/check.go
+++ b/lease/check.go
@@ -20,34 +20,32 @@
 	BeganDraining         // it drains, by its own report
 	BeganProbation        // it accepts work again, and discovery may still report its end
 	Readmitted            // its probation is over, it counts as started when that began
-	Accepting             // it accepts work again, as the confirmed list has it
 )
 
-// CheckDue reports whether a worker is to be health checked without a call for it: it drains, it
-// rejected a call or a check, or, while the list is unconfirmed, its latest check failed or it went
-// unseen for an interval.
+// CheckDue reports whether a worker is to be health checked without a call for it: it drains or is on
+// probation, it rejected a call or a check, or, while workers are watched, its latest check failed or
+// it went unseen for an interval.
 func (k *Keeper) CheckDue(now int64, l *Lease, interval int64) bool {
 	if !k.Enabled() || !k.settings.HealthChecks || l.checking || now < l.nextCheckAt {
 		return false
 	}
 	switch {
-	case l.draining:
-		return now-l.checkSentAt >= drainCheckInterval
+	case l.drainingSince > 0, k.onProbation(l):
+		return now-l.checkSentAt >= interval
 	case l.checkWanted, l.rejections > 0:
 		return true
-	case k.Confirmed(now):
+	}
+	if trust := k.Trust(now); trust == Current || trust == Lagging {
 		return false
-	case l.failures > 0:
-		return true
 	}
-	return now-max(k.lastSeen(l), l.checkSentAt) >= interval
+	return l.failures > 0 || now-max(k.lastWatched(l), l.checkSentAt) >= interval
 }
 
 // MayCheck reports whether a check for a call may be sent now.
 func (k *Keeper) MayCheck(now int64, l *Lease) bool { return !l.checking && now >= l.nextCheckAt }
 
-// CheckInterval returns the time between two periodic checks of a worker while the list is
-// unconfirmed, in nanoseconds. Many dispatchers check more rarely, as far as the worker is still seen
+// CheckInterval returns the time between two periodic checks of a worker while workers are watched, in
+// nanoseconds. Many dispatchers check more rarely, as far as the worker is still seen
 // in time by each.
 func (k *Keeper) CheckInterval() int64 {
 	shared := int64(k.settings.Dispatchers) * 1e9 / workerCheckRate
@@ -68,7 +66,7 @@
 	l.checking = false
 	switch result {
 	case CheckPassed:
-		return k.checkPassed(now, l)
+		return k.checkPassed(l)
 	case CheckRejected:
 		return k.checkRejected(now, l)
 	case CheckFailed:
@@ -81,23 +79,18 @@
 }
 
 // checkPassed takes that a worker accepted work when its check was sent.
-func (k *Keeper) checkPassed(now int64, l *Lease) Change {
-	wasDraining, wasOnProbation := l.draining, k.onProbation(l)
-	l.draining, l.rejections, l.failures = false, 0, 0
+func (k *Keeper) checkPassed(l *Lease) Change {
+	wasDraining, wasOnProbation := l.drainingSince > 0, k.onProbation(l)
+	l.drainingSince, l.rejections, l.failures = 0, 0, 0
+	k.verify(l, l.checkSentAt)
 	switch {
-	case wasDraining && k.Confirmed(now):
-		l.verifiedAt = max(l.verifiedAt, l.checkSentAt)
-		return Accepting
 	case wasDraining:
-		l.verifiedAt, l.probationSince = max(l.verifiedAt, l.checkSentAt), l.checkSentAt
+		l.probationSince, l.interrupted = l.checkSentAt, true
 		return BeganProbation
-	}
-	k.verify(l, l.checkSentAt)
-	switch {
 	case !wasOnProbation && k.onProbation(l):
 		return BeganProbation
 	case wasOnProbation && l.checkSentAt-l.probationSince >= k.settings.UpdateDelay+settleDelay:
-		l.probationSince = 0
+		l.probationSince, l.interrupted = 0, false
 		return Readmitted
 	}
 	return Unchanged
@@ -112,11 +105,10 @@
 		l.nextCheckAt = now + confirmDrainDelay
 		return Unchanged
 	}
-	l.nextCheckAt = now + drainCheckInterval
-	if l.draining {
+	if l.drainingSince > 0 {
 		return Unchanged
 	}
-	l.draining, l.probationSince = true, 0
+	l.drainingSince, l.probationSince, l.interrupted = now, 0, false
 	return BeganDraining
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,11 +1,11 @@
 // Package lease decides how long a worker may get new work without news from endpoint discovery.
 //
-// A dispatcher is told by discovery that a worker drains. While discovery confirms the endpoint list
-// every second, a worker that the list calls active may be used. While it does not, silence says
-// nothing: the worker may have begun to drain, or have ended and started again. A worker then needs
-// a lease. It is renewed by whatever shows that the worker accepts work, an answer to a call or a
-// health check, and lasts as long as sends to a draining worker are allowed. A worker that says
-// itself that it drains has none, whatever the list says of it.
+// A dispatcher is told by discovery that a worker drains. A list without changes says nothing while
+// discovery cannot be reached: the worker may have begun to drain, or have ended and started again.
+// So each worker has a lease, which whatever shows that it accepts work renews: an answer to a call,
+// or a health check. How long a lease lasts, and whether a worker may be used without one, depends on
+// what is known of the list (Trust). A worker that says itself that it drains has no lease, whatever
+// the list says of it.
 //
 // The package has no clock, goroutine or I/O. Times are nanoseconds of a clock that does not go
 // back; 0 stands for never.
@@ -33,12 +33,13 @@
 	// together, as long as that suffices to see it in time.
 	workerCheckRate = 100
 
-	// drainCheckInterval is the time between checks of a worker that drains.
-	drainCheckInterval = int64(time.Second)
 	// confirmDrainDelay is the time from a check that was rejected to the one that confirms it.
 	confirmDrainDelay = int64(50 * time.Millisecond)
+	// recentlySeen is the least time from when a worker was seen to accept work to the check that a
+	// rejection calls for: most workers that reject are full, and accept another call soon.
+	recentlySeen = int64(500 * time.Millisecond)
 	// rejectionCheckInterval is the least time between checks of a worker that rejects calls.
-	rejectionCheckInterval = int64(250 * time.Millisecond)
+	rejectionCheckInterval = int64(time.Second)
 	// minRetryDelay and maxRetryDelay bound the time from a check that failed to the next one, which
 	// doubles with each failure.
 	minRetryDelay = int64(50 * time.Millisecond)
@@ -55,14 +56,34 @@
 	Dispatchers     int   // that check the same workers
 }
 
+// Trust says how far the endpoint list can be trusted.
+type Trust int
+
+// The degrees of trust.
+const (
+	// Current: discovery sends heartbeats, and no worker contradicts the list. A worker without a lease
+	// may be used; a health check before is a precaution, since discovery itself may be cut off.
+	Current Trust = iota
+	// Lagging: a worker drains that the list has as active. That is usual for some seconds, and may be
+	// the first sign of an outage: workers need leases, which last until a change must have arrived.
+	Lagging
+	// Outdated: the same, for longer than discovery takes to tell. Besides, workers are watched, lest
+	// one restarts unseen.
+	Outdated
+	// Silent: there are no heartbeats. Workers are watched as well, and leases last only as long as
+	// sends to a draining worker are allowed.
+	Silent
+)
+
 // Status says whether a worker may get new work.
 type Status int
 
 // The statuses.
 const (
 	Valid     Status = iota // it may
+	Unseen                  // it may, and a health check before would be better
 	Expired                 // only after a health check
-	Suspect                 // not now: the latest check failed or was rejected, another one follows
+	Suspect                 // not now: the latest check failed or was rejected, another one may follow
 	Draining                // no: it says itself that it drains
 	Probation               // no: it accepts work again after an interruption that discovery may still report
 )
@@ -72,15 +93,16 @@
 	if s < Valid || s > Probation {
 		return "unknown"
 	}
-	return [...]string{"valid", "expired", "suspect", "draining", "probation"}[s]
+	return [...]string{"valid", "unseen", "expired", "suspect", "draining", "probation"}[s]
 }
 
 // Lease is what is known of one worker. The zero value is that of a worker that was never seen.
 type Lease struct {
 	verifiedAt     int64 // when it was last seen to accept work
-	probationSince int64 // since when it accepts work again after an interruption; 0: there was none
 	rejectedAt     int64 // when it last rejected a call
-	draining       bool  // by its own report
+	drainingSince  int64 // when it was found to drain, by its own report; 0: it does not
+	probationSince int64 // since when it accepts work again after an interruption; 0: there was none
+	interrupted    bool  // that interruption was seen: it drained. Else it went unseen for too long
 
 	checkSentAt  int64 // of the latest check
 	nextCheckAt  int64 // not before
@@ -94,7 +116,10 @@
 // Keeper grants the leases of one dispatcher. Use New.
 type Keeper struct {
 	settings    Settings
-	confirmedAt int64 // when discovery last confirmed the list
+	heartbeatAt int64 // when discovery last sent a heartbeat
+	watchedAt   int64 // when the list was last not known to be outdated
+	lagging     bool  // a worker contradicts the list
+	outdated    bool  // for longer than discovery takes to tell
 }
 
 // New returns a Keeper of a list that is not confirmed yet.
@@ -107,17 +132,67 @@
 // Enabled reports whether leases are kept at all.
 func (k *Keeper) Enabled() bool { return k.settings.ConfirmInterval > 0 }
 
-// Confirm takes that discovery has confirmed the list: each worker is as the list has it.
-func (k *Keeper) Confirm(now int64) { k.confirmedAt = max(k.confirmedAt, now) }
+// Confirm takes a heartbeat of discovery: it has no change of the list that was not read.
+func (k *Keeper) Confirm(now int64) {
+	k.heartbeatAt = max(k.heartbeatAt, now)
+	if !k.outdated {
+		k.watchedAt = k.heartbeatAt
+	}
+}
+
+// Trust returns how far the list can be trusted.
+func (k *Keeper) Trust(now int64) Trust {
+	switch {
+	case !k.Enabled():
+		return Current
+	case now > k.HeartbeatUntil():
+		return Silent
+	case k.outdated:
+		return Outdated
+	case k.lagging:
+		return Lagging
+	}
+	return Current
+}
+
+// HeartbeatUntil returns when the next heartbeat is overdue; 0 if there was none.
+func (k *Keeper) HeartbeatUntil() int64 {
+	if k.heartbeatAt == 0 {
+		return 0
+	}
+	return k.heartbeatAt + int64(confirmationTolerance*float64(k.settings.ConfirmInterval))
+}
+
+// CurrentUntil returns until when the list is current by what is known now; 0 if it is not.
+func (k *Keeper) CurrentUntil() int64 {
+	if k.lagging || k.outdated {
+		return 0
+	}
+	return k.HeartbeatUntil()
+}
+
+// Interrupted reports whether a worker that the list has as active contradicts it: it drains, or has
+// drained and is on probation.
+func (k *Keeper) Interrupted(l *Lease) bool {
+	return l.drainingSince > 0 || l.probationSince > 0 && l.interrupted
+}
 
-// Confirmed reports whether the list is confirmed, or need not be.
-func (k *Keeper) Confirmed(now int64) bool {
-	return !k.Enabled() || k.confirmedAt > 0 && now <= k.ConfirmedUntil()
+// ProvesOutdated reports whether such a worker has drained for longer than discovery takes to tell.
+func (k *Keeper) ProvesOutdated(now int64, l *Lease) bool {
+	return l.drainingSince > 0 && now-l.drainingSince > k.settings.UpdateDelay
 }
 
-// ConfirmedUntil returns when the latest confirmation of the list runs out.
-func (k *Keeper) ConfirmedUntil() int64 {
-	return k.confirmedAt + int64(confirmationTolerance*float64(k.settings.ConfirmInterval))
+// SetContradicted takes whether a worker contradicts the list, and whether one proves that it is
+// outdated, and reports whether that changes the trust in it. An outdated list is one until no worker
+// contradicts it. Workers count as watched when it becomes so.
+func (k *Keeper) SetContradicted(now int64, contradicted, proven bool) (changed bool) {
+	outdated := contradicted && (proven || k.outdated)
+	changed = contradicted != k.lagging || outdated != k.outdated
+	if outdated && !k.outdated {
+		k.watchedAt = now
+	}
+	k.lagging, k.outdated = contradicted, outdated
+	return changed
 }
 
 // Listed takes an entry of the list for a worker. One that restarted, or that was not active before,
@@ -134,50 +209,67 @@
 	switch {
 	case !k.Enabled():
 		return Valid
-	case l.draining:
+	case l.drainingSince > 0:
 		return Draining
-	case l.rejections > 0:
-		return Suspect
-	case k.Confirmed(now):
-		return Valid
 	case k.onProbation(l):
 		return Probation
-	case now <= k.ValidUntil(l):
+	case l.rejections > 0:
+		return Suspect
+	}
+	trust := k.Trust(now)
+	switch {
+	case l.verifiedAt > 0 && now <= l.verifiedAt+k.duration(trust):
 		return Valid
+	case l.failures > 0 && (trust != Current || now < l.nextCheckAt):
+		return Suspect
+	case trust == Current:
+		return Unseen
 	case !k.settings.HealthChecks:
 		return k.statusUnchecked(l)
-	case l.failures > 0:
-		return Suspect
 	}
 	return Expired
 }
 
+// duration returns how long a lease lasts.
+func (k *Keeper) duration(trust Trust) int64 {
+	if trust == Silent {
+		return k.settings.Grace
+	}
+	return max(k.settings.UpdateDelay, k.settings.Grace)
+}
+
 // statusUnchecked returns the status of a worker without a valid lease where health checks are not
 // allowed: only what it answers to calls can tell that it drains, so that it is used until it has
 // rejected one and accepted none since.
 func (k *Keeper) statusUnchecked(l *Lease) Status {
-	if l.rejectedAt > k.lastSeen(l) {
+	if l.rejectedAt > l.verifiedAt {
 		return Suspect
 	}
 	return Valid
 }
 
-// ValidUntil returns when the lease of a worker runs out without a confirmation of the list; 0 if it
-// has none.
-func (k *Keeper) ValidUntil(l *Lease) int64 {
-	if l.draining || k.onProbation(l) || k.lastSeen(l) == 0 {
-		return 0
+// End is when the lease of a worker runs out; 0 if it has none.
+type End struct {
+	Heartbeats int64 // as long as discovery sends heartbeats
+	Silent     int64 // from when it does not
+}
+
+// End returns when the lease of a worker runs out.
+func (k *Keeper) End(l *Lease) End {
+	if l.drainingSince > 0 || k.onProbation(l) || l.verifiedAt == 0 {
+		return End{}
 	}
-	return k.lastSeen(l) + k.settings.Grace
+	return End{Heartbeats: l.verifiedAt + k.duration(Current), Silent: l.verifiedAt + k.duration(Silent)}
 }
 
-// onProbation reports whether a worker is on probation. A later confirmation of the list ends it.
+// onProbation reports whether a worker is on probation. That of one that only went unseen ends as the
+// list is current again: discovery is back, and had no entry of it.
 func (k *Keeper) onProbation(l *Lease) bool {
-	return l.probationSince > 0 && l.probationSince >= k.confirmedAt
+	return l.probationSince > 0 && (l.interrupted || l.probationSince >= k.watchedAt)
 }
 
-// lastSeen returns when a worker was last known to accept work; 0 if it never was.
-func (k *Keeper) lastSeen(l *Lease) int64 { return max(l.verifiedAt, k.confirmedAt) }
+// lastWatched returns when a worker was last seen, or the list last not outdated; 0 if neither was.
+func (k *Keeper) lastWatched(l *Lease) int64 { return max(l.verifiedAt, k.watchedAt) }
 
 // maxGap returns the longest time in which a worker may go unseen. In a longer one it may have
 // drained, ended and started again, and the drain may count as known while the start does not.
@@ -187,28 +279,32 @@
 
 // RecordAnswer takes that a worker accepted a call that was sent at a time.
 func (k *Keeper) RecordAnswer(l *Lease, sentAt int64) {
-	if l.draining || k.onProbation(l) {
+	if l.drainingSince > 0 || k.onProbation(l) {
 		return // the call was sent before
 	}
 	if sentAt > l.checkSentAt {
 		l.failures = 0
 	}
+	if sentAt > l.rejectedAt {
+		l.checkWanted = false
+	}
 	k.verify(l, sentAt)
 }
 
-// RecordRejection takes that a worker rejected a call: it is full, or it drains. A check tells which.
+// RecordRejection takes that a worker rejected a call: it is full, or it drains. A check tells which, a
+// moment after it was last seen, unless it accepts a later call before.
 func (k *Keeper) RecordRejection(now int64, l *Lease) {
 	l.rejectedAt = now
-	if !l.draining {
+	if l.drainingSince == 0 {
 		l.checkWanted = true
-		l.nextCheckAt = max(l.nextCheckAt, l.checkSentAt+rejectionCheckInterval)
+		l.nextCheckAt = max(l.nextCheckAt, l.checkSentAt+rejectionCheckInterval, l.verifiedAt+recentlySeen)
 	}
 }
 
 // verify takes that a worker accepted work at a time. One that went unseen for too long is put on
 // probation, unless it is seen for the first time, or no health check could ever end that.
 func (k *Keeper) verify(l *Lease, at int64) {
-	if seen := k.lastSeen(l); k.settings.HealthChecks && seen > 0 && at-seen > k.maxGap() {
+	if seen := k.lastWatched(l); k.settings.HealthChecks && seen > 0 && at-seen > k.maxGap() {
 		l.probationSince = at
 	}
 	l.verifiedAt = max(l.verifiedAt, at)
