--- a/core.go
+++ b/core.go
@@ -24,7 +24,7 @@
 	// Of the endpoint list, in nanoseconds of the process clock, 0 for never: when discovery last
 	// confirmed it, when it does so again at the latest, and until when the list counts as current.
 	confirmedAt, heartbeatUntil, currentUntil atomic.Int64
-	classCount                  atomic.Int64 // classes that a request may name
+	classCount                                atomic.Int64 // classes that a request may name
 
 	closeOnce sync.Once
 	closing   chan struct{}
