--- a/cmd/dispatcher/shutdown_test.go
+++ b/cmd/dispatcher/shutdown_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -98,3 +101,39 @@
 	program.signal(syscall.SIGTERM)
 	program.awaitExit()
 }
+
+// A request that is complete only after the time in which new ones are accepted is answered before the
+// platform may kill the program: the longest deadline, counted as 3 s at most, and 0.7 s after SIGTERM.
+// Its worker never answers, and its own deadline lies later.
+func TestLateRequestIsAnsweredBeforeTheKill(t *testing.T) {
+	for _, longest := range []time.Duration{400 * time.Millisecond, 5 * time.Second} {
+		t.Run(longest.String(), func(t *testing.T) {
+			t.Parallel()
+			worker, addr := startBlockedWorker(t), unusedAddr(t)
+			defer close(worker.unblock)
+			settings := strings.Replace(settings, "5000000000", fmt.Sprint(longest.Nanoseconds()), 1)
+			program := startProcess(t, configuration(addr, "", endpointList(worker.addr), settings))
+			program.await("msg=serving")
+			conn, err := net.Dial("tcp", addr)
+			require.NoError(t, err)
+			defer conn.Close()
+			request := fmt.Sprintf("POST /call/%s/trigger HTTP/1.1\r\nHost: a\r\nX-Class: path-check\r\n"+
+				"X-Call-Id: %s\r\nX-Patience-Ms: %d\r\nContent-Length: 1\r\n\r\nx", function, callID, longest.Milliseconds())
+			program.signal(syscall.SIGTERM)
+			terminated := time.Now()
+			program.await("drain started")
+			_, err = conn.Write([]byte(request[:20]))
+			require.NoError(t, err)
+			program.await("drain stopped accepting")
+			_, err = conn.Write([]byte(request[20:]))
+			require.NoError(t, err)
+			go func() { <-worker.called }()
+			earliestKill := terminated.Add(min(longest, 3*time.Second) + 700*time.Millisecond)
+			require.NoError(t, conn.SetReadDeadline(earliestKill))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "no answer before the kill")
+			response.Body.Close()
+			assert.NotEqual(t, 200, response.StatusCode)
+		})
+	}
+}
