A request that comes late in a drain is answered before the earliest kill

Cause: a request that is complete only after the 0.7 s in which new ones are accepted got its client's whole time, up to 5 s, while SIGKILL may come 3.7 s after SIGTERM. Change: drainTerms bound its deadline to 0.25 s before the earliest SIGKILL; requests that came in time keep theirs.

--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -43,6 +43,7 @@
 		return err
 	case <-ctx.Done():
 	}
+	s.drainTerms.Store(newDrainTerms(time.Now(), linger, longest))
 	s.draining.Store(true)
 	if mutant.On(mutant.AbruptShutdown) {
 		linger = 0
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -38,8 +38,9 @@
 	malformed          atomic.Int64 // requests that could not be read
 	latestDeadline     atomic.Int64 // of all requests, in nanoseconds of package monotime
 	draining           atomic.Bool
-	keepAlivesDisabled atomic.Bool // each connection ends with its response
-	outcomes           sync.Map    // class name → *Outcomes
+	drainTerms         atomic.Pointer[drainTerms] // nil: it does not drain
+	keepAlivesDisabled atomic.Bool                // each connection ends with its response
+	outcomes           sync.Map                   // class name → *Outcomes
 	limiter            atomic.Pointer[connLimiter]
 }
 
@@ -159,6 +160,9 @@
 		s.beginRequest(conn, request.ID)
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
+	if terms := s.drainTerms.Load(); terms != nil {
+		request.Deadline = terms.bound(request.Deadline, time.Now())
+	}
 	s.noteDeadline(request.Deadline)
 	if conn != nil {
 		request.CallerGone = func() bool { return clientHasClosed(conn.Conn) }
