--- a/cmd/dispatcher/shutdown_test.go
+++ b/cmd/dispatcher/shutdown_test.go
@@ -118,7 +118,8 @@
 			require.NoError(t, err)
 			defer conn.Close()
 			request := fmt.Sprintf("POST /call/%s/trigger HTTP/1.1\r\nHost: a\r\nX-Class: path-check\r\n"+
-				"X-Call-Id: %s\r\nX-Patience-Ms: %d\r\nContent-Length: 1\r\n\r\nx", function, callID, longest.Milliseconds())
+				"X-Call-Id: %s\r\nX-Patience-Ms: %d\r\nContent-Length: 1\r\n\r\nx",
+				function, callID, longest.Milliseconds())
 			program.signal(syscall.SIGTERM)
 			terminated := time.Now()
 			program.await("drain started")
--- a/cmd/testbed/soak_test.go
+++ b/cmd/testbed/soak_test.go
@@ -41,3 +41,29 @@
 	_, err = soak.Run(t.Context(), s, dir, program)
 	assert.ErrorIs(t, err, soak.ErrUsed)
 }
+
+// Short plays from seeds break no rule: signals in series with the kill at the platform's earliest, a crowd
+// that keeps its connections, and a long outage of discovery with executors that drain meanwhile. The long
+// run is testbed run soak.
+func TestSeededPlays(t *testing.T) {
+	program := lab.Program{Path: os.Args[0], Args: []string{"dispatch"}, Env: []string{asProgram + "=1"}}
+	for _, test := range []struct {
+		name string
+		seed uint64
+		only []soak.Kind
+	}{
+		{"outage", 4002, nil},
+		{"signals and crowd", 3, []soak.Kind{soak.Signals, soak.ClientsCrowd, soak.Reload}},
+		{"ends while executors hang", 4, []soak.Kind{soak.Terminate, soak.ExecutorHang, soak.ClientsCrowd}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			dir := filepath.Join(t.TempDir(), "run")
+			run, err := soak.Run(t.Context(), soak.Draw(test.seed, 4, test.only), dir, program)
+			require.NoError(t, err)
+			t.Logf("%d requests, %d unsent, %d served; laboratory stalled %v",
+				run.Requests, run.Unsent, run.Served, run.Stalled)
+			assert.Empty(t, run.Violations)
+		})
+	}
+}
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -55,6 +55,7 @@
 	down      bool
 	held      bool // it is cut off from what it knows: events wait, heartbeats go on
 	told      int  // number of the last event that it passes on while held
+	toldState map[string]Listed
 	ports     []*port
 	changed   chan struct{} // closed at each change
 	wait      sync.WaitGroup
@@ -183,13 +184,17 @@
 func (d *Discovery) Known(n int) map[string]any {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := slices.SortedFunc(maps.Values(d.state), func(a, entry Listed) int { return strings.Compare(a.ID, entry.ID) })
-	for i := range d.lines {
+	state := d.state
+	if d.held {
+		state = d.toldState
+	}
+	all := slices.SortedFunc(maps.Values(state), func(a, entry Listed) int { return strings.Compare(a.ID, entry.ID) })
+	for i := range d.last() {
 		if _, was := d.ports[n].notified[i+1]; !was {
 			d.ports[n].notified[i+1] = time.Now()
 		}
 	}
-	return map[string]any{"cursor": len(d.lines), "cmds": []any{d.event(n, len(d.lines), true, all)}}
+	return map[string]any{"cursor": d.last(), "cmds": []any{d.event(n, d.last(), true, all)}}
 }
 
 // StartOver begins a new numbering under another epoch, with the full list as its first event.
@@ -215,7 +220,7 @@
 func (d *Discovery) Hold(held bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.held, d.told = held, len(d.lines)
+	d.held, d.told, d.toldState = held, len(d.lines), maps.Clone(d.state)
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -42,6 +42,7 @@
 	Status int  // 0: no complete answer
 	Lost   bool // it was taken by a running dispatcher, and no complete answer came
 	Wrong  bool // served with what no worker made for it
+	Err    string
 	// Crossed reports that at a planned end of the dispatcher the connection was closed as the
 	// request was written, and nothing came back. By the protocol a dispatcher may close a
 	// connection on which no request is open, and a request that crosses the close is sent again,
@@ -228,6 +229,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return t, 0
 		}
+		t.Err = err.Error()
 		t.Crossed = c.ends.Load() && client != c.anew && !answered.Load() && ctx.Err() == nil &&
 			time.Since(t.Sent) < clientCross
 		t.Lost = !t.Crossed
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -66,6 +66,7 @@
 	incompleteRequestTime = 4 * time.Second
 	briefTime             = 60 * time.Millisecond // at the most, for clients in a hurry
 	keepFor               = 3500 * time.Millisecond
+	crowdPause            = 100 * time.Millisecond // on the mean, between two calls of a client in a crowd
 )
 
 // Clients are the clients of one dispatcher.
@@ -364,6 +365,26 @@
 	wait.Wait()
 }
 
+// crowd has further clients ask one call after the other until ctx ends, on connections that they keep,
+// also while the dispatcher ends.
+func (c *Clients) crowd(ctx context.Context, clients int) {
+	var wait sync.WaitGroup
+	for range clients {
+		wait.Go(func() {
+			for ctx.Err() == nil {
+				c.mu.Lock()
+				planned := c.drawCall()
+				pause := time.Duration(c.rng.Int64N(int64(2 * crowdPause)))
+				c.mu.Unlock()
+				planned.fresh = false
+				c.send(planned)
+				time.Sleep(pause)
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // flood opens connections that say nothing and closes them when ctx ends.
 func (c *Clients) flood(ctx context.Context, n int) {
 	var conns []net.Conn
--- a/internal/soak/executor.go
+++ b/internal/soak/executor.go
@@ -39,8 +39,9 @@
 
 // LoadOrder is an order to load that came to an executor.
 type LoadOrder struct {
-	Node int
-	At   time.Time
+	Node     int
+	Executor int
+	At       time.Time
 }
 
 func newExecutor(n int, seed uint64, nodeOf func(host string) int) *executor {
@@ -106,7 +107,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders = append(e.orders, LoadOrder{e.nodeOf(host), time.Now()})
+	e.orders = append(e.orders, LoadOrder{e.nodeOf(host), e.n, time.Now()})
 }
 
 func (e *executor) ordered() []LoadOrder {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,7 +22,7 @@
 	defer cancel()
 	var err error
 	switch fault.Kind {
-	case Terminate, Crash, Pause, Reload, ReloadInvalid, DiskFails:
+	case Terminate, Crash, Signals, Pause, Reload, ReloadInvalid, DiskFails:
 		err = w.disturbProcesses(lasts, ctx, fault)
 	case ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow:
 		err = w.disturbLinks(lasts, fault)
@@ -30,9 +30,9 @@
 		err = w.replaceExecutors(lasts, fault)
 	case IdleClosed, AnswerTwice, AnswerPieces, AnswerCut, ExecutorErrors:
 		w.corruptAnswers(lasts, fault)
-	case DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryOver:
+	case DiscoverySilent, DiscoveryReset, DiscoverySlow, DiscoveryOver, DiscoveryCutOff:
 		err = w.disturbDiscovery(lasts, fault)
-	case ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief, ClientsBurst:
+	case ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief, ClientsBurst, ClientsCrowd:
 		w.changeClients(lasts, fault)
 	case PeersDeaf, PeersTwice:
 		w.disturbPeers(lasts, fault)
@@ -61,14 +61,19 @@
 	return each(len(fault.Targets), func(i int) error {
 		node := w.nodes[fault.Targets[i]]
 		switch fault.Kind {
-		case Terminate, Crash:
-			sig := syscall.SIGTERM
-			if fault.Kind == Crash {
-				sig = syscall.SIGKILL
+		case Terminate, Crash, Signals:
+			signals := []syscall.Signal{syscall.SIGTERM}
+			switch fault.Kind {
+			case Crash:
+				signals = []syscall.Signal{syscall.SIGKILL}
+			case Signals:
+				signals = signalSeries
+			default:
 			}
 			soon, cancel := context.WithTimeout(ctx, readyTime)
 			defer cancel()
-			return node.restart(soon, sig, func() map[string]any { return w.rig.Disc.Known(node.N) })
+			known := func() map[string]any { return w.rig.Disc.Known(node.N) }
+			return node.restart(soon, signals, w.earliestKill(), known)
 		case Pause:
 			node.pause(lasts, fault.For)
 		case DiskFails:
@@ -80,6 +85,20 @@
 	})
 }
 
+// signalSeries is what a node gets at a hurried end: configurations in a row, and SIGTERM more than once.
+var signalSeries = []syscall.Signal{
+	syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM,
+}
+
+// earliestKill returns how soon after SIGTERM the platform may send SIGKILL.
+func (w *world) earliestKill() time.Duration {
+	var longest time.Duration
+	for _, class := range w.figures.Classes {
+		longest = max(longest, class.ClientTimeout)
+	}
+	return min(longest, maxKillDeadline) + takenAtEnd
+}
+
 // failDisk has writes of the process fail beyond a place in the file, so that one may end in the middle.
 func (w *world) failDisk(lasts context.Context, n *node, fault Fault) error {
 	n.action.Lock()
@@ -246,6 +265,9 @@
 
 // disturbDiscovery changes the links of command channels, or publishes the full list again.
 func (w *world) disturbDiscovery(lasts context.Context, fault Fault) error {
+	if fault.Kind == DiscoveryCutOff {
+		return w.cutOffDiscovery(lasts)
+	}
 	if fault.Kind == DiscoveryOver {
 		w.mu.Lock()
 		w.rig.Announce(func(int) bool { return true })
@@ -276,6 +298,21 @@
 	return nil
 }
 
+// cutOffDiscovery has discovery tell nobody anything new, while its heartbeats go on.
+func (w *world) cutOffDiscovery(lasts context.Context) error {
+	marks := make([]int, len(w.uninformed))
+	for n := range marks {
+		marks[n] = w.beginSpan(&w.uninformed[n])
+	}
+	w.rig.Disc.Hold(true)
+	<-lasts.Done()
+	w.rig.Disc.Hold(false)
+	for n, mark := range marks {
+		w.endSpan(&w.uninformed[n], mark)
+	}
+	return nil
+}
+
 // changeClients changes what the clients do, or adds connections to theirs.
 func (w *world) changeClients(lasts context.Context, fault Fault) {
 	share := 0.2 + 0.6*fault.Amount
@@ -300,6 +337,11 @@
 			func(i int) error { w.clients[fault.Targets[i]].flood(lasts, floodConns); return nil })
 		return
 	}
+	if fault.Kind == ClientsCrowd {
+		_ = each(len(fault.Targets),
+			func(i int) error { w.clients[fault.Targets[i]].crowd(lasts, crowdClients); return nil })
+		return
+	}
 	if fault.Kind == ClientsBurst {
 		_ = each(min(len(fault.Targets), 2),
 			func(i int) error { w.clients[fault.Targets[i]].burst(lasts, burstClients); return nil })
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -112,25 +112,51 @@
 	}
 }
 
-// end sends SIGTERM or SIGKILL and waits for the exit.
-func (n *node) end(sig syscall.Signal) {
+// signalPause is the time between the signals of a series.
+const signalPause = 40 * time.Millisecond
+
+// end sends signals in a row, SIGTERM or SIGKILL among them, and waits for the exit. After SIGTERM the
+// process is killed once killAfter is over.
+func (n *node) end(signals []syscall.Signal, killAfter time.Duration) {
 	n.mu.Lock()
 	cmd, exited, life := n.cmd, n.exited, n.lives[len(n.lives)-1]
-	if sig == syscall.SIGKILL {
+	n.mu.Unlock()
+	var kill <-chan time.Time
+	for i, signal := range signals {
+		if i > 0 {
+			time.Sleep(signalPause)
+		}
+		n.mu.Lock()
+		switch {
+		case signal == syscall.SIGKILL:
+			life.Killed = time.Now()
+		case signal == syscall.SIGTERM && life.Ending.IsZero():
+			life.Ending, kill = time.Now(), time.After(killAfter)
+		}
+		n.mu.Unlock()
+		_ = cmd.Process.Signal(signal)
+	}
+	select {
+	case <-exited:
+		return
+	case <-kill:
+	}
+	n.mu.Lock()
+	if life.Ended.IsZero() {
 		life.Killed = time.Now()
-	} else {
-		life.Ending = time.Now()
 	}
 	n.mu.Unlock()
-	_ = cmd.Process.Signal(sig)
+	_ = cmd.Process.Signal(syscall.SIGKILL)
 	<-exited
 }
 
-// restart ends the process and starts another.
-func (n *node) restart(ctx context.Context, sig syscall.Signal, known func() map[string]any) error {
+// restart ends the process by signals and starts another.
+func (n *node) restart(
+	ctx context.Context, signals []syscall.Signal, killAfter time.Duration, known func() map[string]any,
+) error {
 	n.action.Lock()
 	defer n.action.Unlock()
-	n.end(sig)
+	n.end(signals, killAfter)
 	if err := n.Know(known()); err != nil {
 		return err
 	}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -61,6 +61,10 @@
 	pauseTail      = 400 * time.Millisecond
 	// the settings' grace, the page's slack and this machine's
 	drainSlack = drainGrace + 50*time.Millisecond + 100*time.Millisecond
+	// a change counts as told after this, whether its event arrived or not
+	toldAfter = 7 * time.Second
+	// the longest deadline counts for so much at most when SIGKILL comes
+	maxKillDeadline = 3 * time.Second
 	// a lost channel is found and opened again by then
 	uninformedTail = 2500 * time.Millisecond
 )
@@ -106,6 +110,7 @@
 		j.arrivals(request)
 	}
 	j.processes()
+	j.orderedAfterDrain()
 	j.rationed()
 	j.recovers()
 	return j.found
@@ -181,13 +186,12 @@
 		if request.SentAt.Before(life.Begun) || !life.Ended.IsZero() && life.Ended.Before(request.Sent) {
 			continue
 		}
+		// On a connection that it keeps, a client may ask until the kill, and is owed an answer by then.
+		late := !life.Ending.IsZero() && request.SentAt.Sub(life.Ending) > takenAtEnd
 		if !life.Killed.IsZero() && life.Killed.Before(request.Ended) {
-			return false
-		}
-		if !life.Ending.IsZero() && request.SentAt.Sub(life.Ending) > takenAtEnd {
-			return false
+			return late && request.Reused && request.SentAt.Before(life.Killed)
 		}
-		return true
+		return !late || request.Reused
 	}
 	return false
 }
@@ -237,23 +241,48 @@
 	}
 }
 
-// drained checks whether an arrival came to an executor long after its dispatcher was notified that
-// it drains.
+// drained checks whether a call came to an executor long after its dispatcher was notified that it
+// drains.
 func (j *oracle) drained(request *Request, arrival *Arrival) {
+	if late, is := j.afterDrain(request.Node, arrival.Executor, arrival.At); is {
+		j.broken(RuleDrain, request.Node, request.ID, "came to executor %d %v after it was told that it drains",
+			arrival.Executor, late.Round(time.Millisecond))
+	}
+}
+
+// orderedAfterDrain checks the same of load orders.
+func (j *oracle) orderedAfterDrain() {
+	for _, order := range j.Orders {
+		if order.Node < 0 {
+			continue
+		}
+		if late, is := j.afterDrain(order.Node, order.Executor, order.At); is {
+			j.broken(RuleDrain, order.Node, "", "load order to executor %d %v after it was told that it drains",
+				order.Executor, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// afterDrain reports whether a node may send an executor nothing new at a time, since it drains and that
+// counts as told, and how long it has. Discovery tells at once, or 7 s later at the latest.
+func (j *oracle) afterDrain(node, executor int, at time.Time) (late time.Duration, is bool) {
 	for _, drain := range j.Drains {
-		if drain.Executor != arrival.Executor || !drain.overlaps(arrival.At,
-			arrival.At) || arrival.At.Sub(drain.from) < drainSlack {
+		if drain.Executor != executor || !drain.overlaps(at, at) {
 			continue
 		}
-		untold := slices.ContainsFunc(j.Uninformed[request.Node], func(s span) bool {
+		told := drain.from
+		untold := slices.ContainsFunc(j.Uninformed[node], func(s span) bool {
 			s.until = s.until.Add(uninformedTail)
-			return s.overlaps(drain.from, arrival.At)
+			return s.overlaps(drain.from, at)
 		})
-		if !untold && !j.disturbed(request.Node, arrival.Executor, drain.from, arrival.At) {
-			j.broken(RuleDrain, request.Node, request.ID, "came to executor %d %v after discovery told that it drains",
-				arrival.Executor, arrival.At.Sub(drain.from).Round(time.Millisecond))
+		if untold {
+			told = told.Add(toldAfter)
+		}
+		if at.Sub(told) >= drainSlack && !j.disturbed(node, executor, told, at) {
+			return at.Sub(told), true
 		}
 	}
+	return 0, false
 }
 
 // disturbed reports whether something between the process and the executor, or the process itself,
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -21,6 +21,7 @@
 const (
 	Terminate     Kind = "terminate" // SIGTERM, then a start on the same address
 	Crash         Kind = "crash"     // SIGKILL, then a start on the same address
+	Signals       Kind = "signals"   // SIGHUP and SIGTERM in series, then a start on the same address
 	Pause         Kind = "pause"     // SIGSTOP and SIGCONT
 	Reload        Kind = "reload"    // SIGHUP with a good file
 	ReloadInvalid Kind = "reloadbad" // SIGHUP with a file that lacks keys, or is cut off in the middle
@@ -40,6 +41,7 @@
 	DiscoverySilent Kind = "disco-silent" // its connections stay open, and nothing comes
 	DiscoveryReset  Kind = "disco-reset"  // its connections are reset, also within a line
 	DiscoverySlow   Kind = "disco-slow"   // all that it sends is late
+	DiscoveryCutOff Kind = "disco-cut"    // its heartbeats go on, and no event comes to anyone
 	DiscoveryOver   Kind = "disco-over"   // the full list comes again
 
 	ClientsLeave  Kind = "leave"  // clients close, reset or half-close while their calls are in hand
@@ -47,6 +49,7 @@
 	ClientsFlood  Kind = "flood"  // connections that say nothing, more than there are places
 	ClientsRetry  Kind = "retry"  // refused calls come again at once, on new connections
 	ClientsBrief  Kind = "brief"  // clients have very little time
+	ClientsCrowd  Kind = "crowd"  // further clients ask all the time, each on a connection that it keeps
 	ClientsBurst  Kind = "burst"  // more clients ask at once than there are places, each on a new connection
 
 	PeersDeaf  Kind = "deaf"  // no datagrams come
@@ -63,11 +66,13 @@
 // Kinds lists them all.
 func Kinds() []Kind {
 	return []Kind{
-		Terminate, Crash, Pause, Reload, ReloadInvalid, ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow,
+		Terminate, Crash, Signals, Pause, Reload, ReloadInvalid,
+		ExecutorHang, ExecutorVanish, ExecutorReset, ExecutorSlow,
 		ExecutorDrain,
 		ExecutorRenew, IdleClosed, AnswerTwice, AnswerPieces, AnswerCut, ExecutorErrors, DiscoverySilent,
-		DiscoveryReset, DiscoverySlow,
-		DiscoveryOver, ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief, ClientsBurst, PeersDeaf,
+		DiscoveryReset, DiscoverySlow, DiscoveryCutOff,
+		DiscoveryOver, ClientsLeave, ClientsDawdle, ClientsFlood, ClientsRetry, ClientsBrief, ClientsBurst,
+		ClientsCrowd, PeersDeaf,
 		PeersTwice, ClockStep,
 		AcceptFails, ConnectFails, ConnectLate, TransferFails, DiskFails,
 	}
@@ -108,6 +113,10 @@
 	longest       = 1800 * time.Millisecond
 	maxBurst      = 500 * time.Millisecond
 	executorsPart = 1.2 // executors for each process
+
+	outageEvery = 6                // of so many seeds one has a long outage of discovery
+	outageTime  = 13 * time.Second // how long that lasts: longer than a drain takes to be told
+	outageDrain = 1500 * time.Millisecond
 )
 
 // Deployments that runs are drawn for.
@@ -139,9 +148,33 @@
 			schedule.CachedList = schedule.CachedList || kind == DiskFails
 		}
 	}
+	if len(only) == 0 && seed%outageEvery == 0 {
+		schedule.addOutage(rng)
+	}
 	return schedule
 }
 
+// addOutage makes a schedule longer, with discovery out of reach of every dispatcher nearly all the time
+// and executors that drain meanwhile, one after the other, for longer than a drain takes to be told.
+func (s *Schedule) addOutage(rng *rand.Rand) {
+	kind := DiscoverySilent
+	if rng.IntN(2) == 0 {
+		kind = DiscoveryCutOff
+	}
+	everybody := make([]int, s.Processes)
+	for i := range everybody {
+		everybody[i] = i
+	}
+	s.FaultTime = outageTime + 2*firstFault
+	s.Faults = append(s.Faults, Fault{Kind: kind, At: firstFault, For: outageTime, Targets: everybody})
+	for i, executor := range rng.Perm(s.Executors)[:2] {
+		at := firstFault + time.Duration(1+i)*outageDrain
+		s.Faults = append(s.Faults, Fault{
+			Kind: ExecutorDrain, At: at, For: s.FaultTime - at - firstFault, Targets: []int{executor},
+		})
+	}
+}
+
 // knownInteractions are faults of which it is known that they can meet at a request; half of the
 // waves begin with one of these.
 var knownInteractions = [][]Kind{
@@ -181,13 +214,16 @@
 	if kind == ClientsBurst {
 		fault.For = min(fault.For, maxBurst)
 	}
+	if kind == ClientsCrowd {
+		fault.For = schedule.FaultTime
+	}
 	fault.For = min(fault.For, schedule.FaultTime-fault.At)
 	all, most := schedule.Processes, 3
 	if kind.ofExecutors() {
 		all, most = schedule.Executors, 4
 	}
 	switch kind {
-	case ClientsLeave, ClientsDawdle, ClientsRetry, ClientsBrief, DiscoveryOver:
+	case ClientsLeave, ClientsDawdle, ClientsRetry, ClientsBrief, ClientsCrowd, DiscoveryOver, DiscoveryCutOff:
 		most = all // all dispatchers have such clients
 		fault.Targets = rng.Perm(all)
 	case Reload, ReloadInvalid, DiscoverySilent, DiscoveryReset, DiscoverySlow, PeersDeaf, PeersTwice, IdleClosed:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -143,6 +143,16 @@
 		"sent to one that drains": {RuleDrain, func(r *Records, _ *Request, arrival *Arrival) {
 			arrival.At, r.Drains = at(900), []Drain{{0, span{at(0), at(2000)}}}
 		}},
+		"load order to one that drains": {RuleDrain, func(r *Records, _ *Request, _ *Arrival) {
+			r.Orders, r.Drains = []LoadOrder{{At: at(900)}}, []Drain{{0, span{at(0), at(2000)}}}
+		}},
+		"sent to one that drains, told by the clock": {RuleDrain, func(r *Records, _ *Request, _ *Arrival) {
+			r.Uninformed[0], r.Drains = []span{{at(-9000), at(900)}}, []Drain{{0, span{at(-8000), at(2000)}}}
+		}},
+		"asked late on a kept connection, and killed": {RuleAnswered, func(r *Records, request *Request, _ *Arrival) {
+			request.End, request.Reused, request.Ended = Closed, true, at(900)
+			r.Lives[0][0].Ending, r.Lives[0][0].Killed, r.Lives[0][0].Ended = at(-800), at(850), at(860)
+		}},
 		"too many orders": {RuleRation, func(r *Records, _ *Request,
 			_ *Arrival,
 		) {
@@ -185,9 +195,16 @@
 			request.End,
 				r.Lives[0][0].Killed = Closed, at(200)
 		},
-		"it came long after SIGTERM": func(r *Records, request *Request) {
+		"it came long after SIGTERM, on a new connection": func(r *Records, request *Request) {
 			request.End, r.Lives[0][0].Ending, r.Lives[0][0].Ended = Closed, at(-800), at(1000)
 		},
+		"it came in time, and SIGKILL found it unanswered": func(r *Records, request *Request) {
+			request.End, request.Reused, r.Lives[0][0].Ending = Closed, true, at(-100)
+			r.Lives[0][0].Killed, r.Lives[0][0].Ended = at(200), at(210)
+		},
+		"discovery had not told": func(r *Records, _ *Request) {
+			r.Uninformed[0], r.Drains = []span{{at(-9000), at(900)}}, []Drain{{0, span{at(-6000), at(2000)}}}
+		},
 		"its process was stopped": func(r *Records, request *Request) {
 			request.End, r.Paused[0] = Overdue,
 				[]span{{at(0), at(400)}}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -20,6 +20,7 @@
 	callRate     = 14.0 // calls a second at each dispatcher
 	nodeSockets  = 256
 	burstClients = 130
+	crowdClients = 8
 	drainGrace   = 200 * time.Millisecond
 	lateConnect  = 1200 * time.Millisecond // time to connect where connections may come up late
 	floodConns   = 160                     // more than a dispatcher with so many sockets holds of clients
@@ -232,11 +233,11 @@
 			return nil
 		}
 		ended := make(chan struct{})
-		go func() { node.end(syscall.SIGTERM); close(ended) }()
+		go func() { node.end([]syscall.Signal{syscall.SIGTERM}, w.earliestKill()); close(ended) }()
 		select {
 		case <-ended:
 		case <-time.After(readyTime):
-			node.end(syscall.SIGKILL)
+			node.end([]syscall.Signal{syscall.SIGKILL}, 0)
 		}
 		return nil
 	})
