Leases cost what needs attention; an idle dispatcher goes on watching in silence

Change: leaseState follows just the workers that rejected work, drain or are on probation; all are walked only while they are watched; a request brings the next round forward. Tests of the balancer's side: a call waits for its check in silence, a rejection finds a drain, an idle dispatcher watches its workers, precautions are limited.

--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -12,6 +12,7 @@
 		return
 	}
 	b.timers.lastRequestAt = now
+	b.endIdleTime(now)
 	b.gossip.earn()
 	b.leases.earn()
 	b.hedges.earn(b.losses.probability)
--- a/balancer/fake_test.go
+++ b/balancer/fake_test.go
@@ -14,6 +14,7 @@
 	answers       map[string]string
 	loadOrders    []WorkerID
 	unloadOrders  []FuncID
+	healthChecks  []WorkerID
 	cancellations int
 	subscriptions int
 	messages      []string
@@ -51,7 +52,7 @@
 	f.unloadOrders = append(f.unloadOrders, function)
 }
 
-func (f *fakeHost) HealthCheck(worker WorkerID) {}
+func (f *fakeHost) HealthCheck(worker WorkerID) { f.healthChecks = append(f.healthChecks, worker) }
 
 func (f *fakeHost) SendPeerMessage(to int, data string) {
 	f.messages, f.receivers = append(f.messages, data), append(f.receivers, to)
--- a/balancer/lease.go
+++ b/balancer/lease.go
@@ -25,9 +25,10 @@
 	keeper      *lease.Keeper
 	watch       float64 // periodic checks that may be made now
 	watchAt     int64
-	next        int     // index in the list from which the next round goes on
-	precautions float64 // checks of unseen workers that may be made now
-	share       float64 // of those, earned with each request
+	next        int            // index in the list from which the next round goes on
+	followed    []*workerState // to be checked whatever the trust in the list: they rejected work, or drained
+	precautions float64        // checks of unseen workers that may be made now
+	share       float64        // of those, earned with each request
 	counts      LeaseCounts
 }
 
@@ -133,146 +134,8 @@
 	return true
 }
 
-// checkForCall has a worker health checked for a call, unless a check is in flight or has just failed.
-func (b *Balancer) checkForCall(now int64, worker *workerState) {
-	if b.leases.keeper.MayCheck(now, &worker.lease) {
-		b.startCheck(now, worker)
-	}
-}
-
-// startCheck has a worker health checked.
-func (b *Balancer) startCheck(now int64, worker *workerState) {
-	b.leases.keeper.CheckStarted(now, &worker.lease)
-	b.leases.counts.Checks++
-	b.host.HealthCheck(worker.Worker)
-}
-
-// HandleHealthCheck takes the result of a health check, with the load report that came with it.
-// QueueFull says that the worker accepts no work.
-func (b *Balancer) HandleHealthCheck(now int64, id WorkerID, result Result, rtt int64, report []float64) {
-	b.advanceClock(now)
-	defer b.armTimer()
-	worker := b.endpoints.byID[id]
-	if worker == nil {
-		return
-	}
-	if result == OK {
-		b.recordLoadReport(now, worker, report)
-	}
-	b.finishCheck(now, worker, checkResult(result))
-	b.dispatchAfterCheck(now, worker)
-}
-
-// checkResult returns what the result of a health check says of a lease.
-func checkResult(result Result) lease.CheckResult {
-	switch result {
-	case OK:
-		return lease.CheckPassed
-	case QueueFull:
-		return lease.CheckRejected
-	case NotSent, Cancelled:
-		return lease.CheckNotSent
-	case Error, Timeout, ConnectFailed, Reset, NotLoaded, NumResults:
-	}
-	return lease.CheckFailed
-}
-
-// finishCheck takes the result of a health check into the lease of a worker.
-func (b *Balancer) finishCheck(now int64, worker *workerState, result lease.CheckResult) {
-	counts := &b.leases.counts
-	switch result {
-	case lease.CheckRejected:
-		counts.ChecksRejected++
-	case lease.CheckFailed:
-		counts.ChecksFailed++
-	case lease.CheckPassed, lease.CheckNotSent:
-	}
-	startedAt := b.leases.keeper.ProbationSince(&worker.lease)
-	switch b.leases.keeper.RecordCheck(now, &worker.lease, result) {
-	case lease.BeganDraining:
-		counts.Drains++
-		worker.forgetCopies()
-		b.logf(now, "worker %d drains by its own report", worker.Worker)
-	case lease.BeganProbation:
-		counts.Probations++
-		worker.forgetCopies()
-		b.logf(now, "worker %d on probation: it accepts work after an interruption", worker.Worker)
-	case lease.Readmitted:
-		counts.Readmissions++
-		b.readmit(now, worker, startedAt)
-	case lease.Unchanged:
-	}
-}
-
-// readmit takes that a worker is used again after its probation. It may be another process, which has
-// started no later than its probation began.
-func (b *Balancer) readmit(now int64, worker *workerState, startedAt int64) {
-	worker.Start = startedAt
-	worker.beginAnew()
-	b.slowStart.track(now, worker)
-	b.logf(now, "worker %d readmitted, as just started", worker.Worker)
-}
-
-// dispatchAfterCheck dispatches the requests that waited for a health check of a worker.
-func (b *Balancer) dispatchAfterCheck(now int64, worker *workerState) {
-	waiting := worker.awaitingCheck
-	worker.awaitingCheck = nil
-	for _, request := range waiting {
-		if request.awaitingCheck == worker && !request.done && request.lastInFlight() == nil {
-			b.dispatch(now, request)
-		}
-	}
-}
-
-// renewLeases has the workers health checked that are due for it, as far as the rate of periodic checks
-// allows, each round from where the last one ended. Of a long list only those that may hold copies are
-// checked; the others cannot all be seen in time, and are on probation once they are needed.
-func (b *Balancer) renewLeases(now int64) {
-	l := &b.leases
-	if !l.keeper.Enabled() {
-		return
-	}
-	b.detectContradictions(now)
-	elapsed := float64(now-l.watchAt) / 1e9
-	l.watch, l.watchAt = min(l.watch+elapsed*watchCheckRate, watchCheckBurst), now
-	workers, interval := b.endpoints.workersWithHolders(), l.keeper.CheckInterval()
-	for range workers {
-		if l.watch < 1 {
-			return
-		}
-		worker := workers[l.next%len(workers)]
-		l.next = (l.next + 1) % len(workers)
-		if worker.listed && worker.State == Active && l.keeper.CheckDue(now, &worker.lease, interval) {
-			l.watch--
-			b.startCheck(now, worker)
-		}
-	}
-}
-
-// detectContradictions looks for workers that contradict the endpoint list.
-func (b *Balancer) detectContradictions(now int64) {
-	keeper, contradicted, proven := b.leases.keeper, false, false
-	for _, worker := range b.endpoints.listed {
-		if worker.State != Active || !keeper.Interrupted(&worker.lease) {
-			continue
-		}
-		contradicted = true
-		proven = proven || keeper.ProvesOutdated(now, &worker.lease)
-	}
-	wasOutdated := keeper.Trust(now) == lease.Outdated
-	if !keeper.SetContradicted(now, contradicted, proven) {
-		return
-	}
-	switch isOutdated := keeper.Trust(now) == lease.Outdated; {
-	case isOutdated && !wasOutdated:
-		b.logf(now, "endpoint list outdated: a worker has drained for longer than discovery takes to tell")
-	case wasOutdated && !isOutdated:
-		b.logf(now, "endpoint list no longer outdated")
-	}
-}
-
-// idleUntil returns when maintenance is due though no request comes: when the endpoint list may have
-// become unconfirmed, or in the usual pace if it is. ok is false if leases are not kept.
+// idleUntil returns when maintenance is due though no request comes: when the next heartbeat of discovery
+// is overdue, or in the usual pace if it is. ok is false if leases are not kept.
 func (b *Balancer) idleUntil(now int64) (at int64, ok bool) {
 	if !b.leases.keeper.Enabled() {
 		return 0, false
--- /dev/null
+++ b/balancer/lease_test.go
@@ -0,0 +1,122 @@
+package balancer
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// leaseSettings are those of a deployment whose discovery sends heartbeats.
+func leaseSettings() Settings {
+	settings := testSettings(Idempotent, ScopeAll)
+	settings.HealthChecks = true
+	settings.ConfirmInterval = 1000 * ms
+	settings.EndpointUpdateDelay = 7000 * ms
+	return settings
+}
+
+// runUntil fires the timers of a balancer in steps until a time. Health checks get the result that answer
+// returns.
+func runUntil(balancer *Balancer, host *fakeHost, from, until int64, answer func(WorkerID) Result) {
+	for now := from; now <= until; now += 50 * ms {
+		balancer.HandleTimer(now, host.timerRef)
+		checks := host.healthChecks
+		host.healthChecks = nil
+		for _, worker := range checks {
+			balancer.HandleHealthCheck(now, worker, answer(worker), ms, nil)
+		}
+	}
+}
+
+// Without heartbeats a call waits for the health check of its worker. It goes where a check passes, and
+// not to a worker that drains.
+func TestCallWaitsForHealthCheckInSilence(t *testing.T) {
+	balancer, host := newTestBalancer(t, leaseSettings(), 2)
+	balancer.ConfirmEndpoints(0)
+	now := 3000 * ms
+	balancer.HandleRequest(now, Request{ID: "a", Func: 7, Deadline: now + 3000*ms, Tenant: -1})
+	assert.Empty(t, host.attempts, "nothing is known of any worker")
+	assert.NotEmpty(t, host.healthChecks)
+	runUntil(balancer, host, now, now+300*ms, func(worker WorkerID) Result {
+		if worker == 1 {
+			return QueueFull
+		}
+		return OK
+	})
+	assert.Equal(t, []sentAttempt{{"a", 2}}, host.attempts)
+	counts := balancer.LeaseCounts()
+	assert.Positive(t, counts.Waits)
+	assert.LessOrEqual(t, counts.Drains, int64(1))
+}
+
+// A worker that rejects a call is checked, and gets nothing more once it is found to drain though the list
+// has it as active; calls go on elsewhere without waiting.
+func TestRejectionFindsDrain(t *testing.T) {
+	balancer, host := newTestBalancer(t, leaseSettings(), 2)
+	balancer.ConfirmEndpoints(0)
+	ok := func(WorkerID) Result { return OK }
+	balancer.HandleRequest(100*ms, Request{ID: "a", Func: 7, Deadline: 3100 * ms, Tenant: -1})
+	runUntil(balancer, host, 100*ms, 200*ms, ok)
+	first := host.attempts[0].worker
+	balancer.HandleAttemptResult(300*ms, AttemptResult{ID: "a", Worker: first, Result: QueueFull})
+	drains := func(worker WorkerID) Result {
+		if worker == first {
+			return QueueFull
+		}
+		return OK
+	}
+	runUntil(balancer, host, 350*ms, 1900*ms, drains)
+	assert.EqualValues(t, 1, balancer.LeaseCounts().Drains)
+	balancer.ConfirmEndpoints(1900 * ms)
+	host.attempts = nil
+	for i, id := range []string{"b", "c", "d", "e"} {
+		now := 1900*ms + int64(i)*20*ms
+		balancer.HandleRequest(now, Request{ID: id, Func: FuncID(i), Deadline: now + 3000*ms, Tenant: -1})
+	}
+	runUntil(balancer, host, 2000*ms, 2100*ms, drains)
+	assert.NotEmpty(t, host.attempts)
+	assert.False(t, slices.ContainsFunc(host.attempts, func(sent sentAttempt) bool { return sent.worker == first }))
+}
+
+// An idle dispatcher goes on checking its workers while discovery is silent: when a request comes after a
+// long quiet time they are known, and it does not wait.
+func TestIdleDispatcherWatchesWorkersInSilence(t *testing.T) {
+	balancer, host := newTestBalancer(t, leaseSettings(), 3)
+	balancer.ConfirmEndpoints(0)
+	checked := map[WorkerID]int{}
+	runUntil(balancer, host, 50*ms, 60_000*ms, func(worker WorkerID) Result {
+		checked[worker]++
+		return OK
+	})
+	for worker := WorkerID(1); worker <= 3; worker++ {
+		assert.GreaterOrEqual(t, checked[worker], 20, "worker %d", worker)
+		assert.LessOrEqual(t, checked[worker], 70, "worker %d", worker)
+	}
+	assert.Zero(t, balancer.LeaseCounts().Probations)
+	now := 60_050 * ms
+	balancer.HandleRequest(now, Request{ID: "a", Func: 7, Deadline: now + 3000*ms, Tenant: -1})
+	runUntil(balancer, host, now, now+100*ms, func(WorkerID) Result { return OK })
+	assert.Len(t, host.attempts, 1)
+}
+
+// While heartbeats come and no worker contradicts the list, checks of unseen workers stay within their
+// share of the requests.
+func TestPrecautionsAreLimited(t *testing.T) {
+	settings := leaseSettings()
+	settings.ProbePrice = 0.01
+	balancer, host := newTestBalancer(t, settings, 40)
+	const requests = 200
+	for i := range int64(requests) {
+		now := 10 * ms * i
+		balancer.ConfirmEndpoints(now)
+		request := Request{ID: string(rune('a' + i)), Func: FuncID(i), Deadline: now + 3000*ms, Tenant: -1}
+		balancer.HandleRequest(now, request)
+		for _, worker := range host.healthChecks {
+			balancer.HandleHealthCheck(now, worker, OK, ms, nil)
+		}
+		host.healthChecks = nil
+	}
+	assert.LessOrEqual(t, balancer.LeaseCounts().Checks, int64(precautionBurst+0.15*requests+1))
+	assert.Greater(t, balancer.LeaseCounts().Checks, int64(precautionBurst))
+}
--- a/balancer/maintenance.go
+++ b/balancer/maintenance.go
@@ -20,9 +20,21 @@
 	b.now = max(b.now, now)
 	b.excuseStall(b.now)
 	if b.timers.maintenanceAt == 0 {
-		b.timers.maintenanceAt = b.now + b.shortestObjective/maintenanceRounds
+		b.scheduleMaintenance(b.now + b.shortestObjective/maintenanceRounds)
 		b.pruneActive(b.now)
-		b.schedule(b.timers.maintenanceAt, nil)
+	}
+}
+
+// scheduleMaintenance schedules the next maintenance round.
+func (b *Balancer) scheduleMaintenance(at int64) {
+	b.timers.maintenanceAt = at
+	b.schedule(at, nil)
+}
+
+// endIdleTime brings the next maintenance round forward to the usual pace, as a request comes.
+func (b *Balancer) endIdleTime(now int64) {
+	if soon := now + b.shortestObjective/maintenanceRounds; b.timers.maintenanceAt > soon {
+		b.scheduleMaintenance(soon)
 	}
 }
 
@@ -58,7 +70,9 @@
 func (b *Balancer) handleDue(now int64, request *requestState) {
 	switch {
 	case request == nil:
-		b.runMaintenance(now)
+		if now >= b.timers.maintenanceAt { // else it was scheduled anew
+			b.runMaintenance(now)
+		}
 	case request.done || request.streaming:
 	case now >= b.answerBy(request):
 		b.finish(now, request, EndedByDeadline)
@@ -104,8 +118,7 @@
 		return
 	}
 	if at, ok := b.idleUntil(now); ok {
-		b.timers.maintenanceAt = at
-		b.schedule(at, nil)
+		b.scheduleMaintenance(at)
 	}
 }
 
--- a/balancer/result.go
+++ b/balancer/result.go
@@ -121,6 +121,7 @@
 		b.leases.keeper.RecordAnswer(&attempt.worker.lease, attempt.sentAt)
 	case QueueFull:
 		b.leases.keeper.RecordRejection(now, &attempt.worker.lease)
+		b.leases.follow(attempt.worker)
 	case Timeout, ConnectFailed, Reset, Cancelled, NotSent, NumResults:
 	}
 	switch result.Result {
--- a/balancer/worker.go
+++ b/balancer/worker.go
@@ -63,6 +63,7 @@
 	trackedInUse     bool
 	trackedHolder    bool
 	trackedWarmingUp bool
+	followed         bool  // by leaseState
 	lastActivityAt   int64 // when a call, a response or a message last concerned it; 0: not listed as active
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -171,6 +171,12 @@
 	return k.HeartbeatUntil()
 }
 
+// NeedsAttention reports whether a worker is to be looked at however far the list is trusted: it rejected
+// a call or a check, drains, or is on probation.
+func (k *Keeper) NeedsAttention(l *Lease) bool {
+	return k.Enabled() && (l.checkWanted || l.rejections > 0 || l.drainingSince > 0 || k.onProbation(l))
+}
+
 // Interrupted reports whether a worker that the list has as active contradicts it: it drains, or has
 // drained and is on probation.
 func (k *Keeper) Interrupted(l *Lease) bool {
