--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,7 +11,10 @@
 // back; 0 stands for never.
 package lease
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// confirmationTolerance is how many intervals may pass from one confirmation of the list to the
@@ -262,7 +265,12 @@
 
 // End returns when the lease of a worker runs out.
 func (k *Keeper) End(l *Lease) End {
-	if l.drainingSince > 0 || k.onProbation(l) || l.verifiedAt == 0 {
+	switch {
+	case l.drainingSince > 0 || k.onProbation(l):
+		return End{}
+	case !k.settings.HealthChecks && k.statusUnchecked(l) == Valid:
+		return End{Heartbeats: math.MaxInt64, Silent: math.MaxInt64}
+	case l.verifiedAt == 0:
 		return End{}
 	}
 	return End{Heartbeats: l.verifiedAt + k.duration(Current), Silent: l.verifiedAt + k.duration(Silent)}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -202,7 +202,9 @@
 	settings.HealthChecks = false
 	keeper, worker := confirmedKeeper(settings, 10*second)
 	assert.Equal(t, Valid, keeper.Status(20*second, worker))
+	assert.Greater(t, keeper.End(worker).Silent, 20*second)
 	keeper.RecordRejection(20*second, worker)
+	assert.Less(t, keeper.End(worker).Silent, 20*second)
 	assert.Equal(t, Suspect, keeper.Status(20*second, worker))
 	assert.False(t, keeper.CheckDue(25*second, worker, second))
 	keeper.RecordAnswer(worker, 21*second)
