Traced: tests ran the lab on one thread; checks of unseen workers one in fifty

Cause: TestBadConfiguration runs the program within the tests' process, and the program fits the Go runtime to its configuration: GOMAXPROCS 1 where no cores are named, and a memory limit. From then on the workers, relays and clients of all rigs of that package ran on one thread, with the race detector; that is what whole runs left behind in the test process, and why both known red tests and TestDiscoveryOutage lost calls there and passed alone.

--- a/balancer/lease.go
+++ b/balancer/lease.go
@@ -8,13 +8,11 @@
 	watchCheckRate = 50.0
 	// watchCheckBurst is how many of them may be made at once.
 	watchCheckBurst = 10.0
-	// precautionCost is the share of the result that checks of unseen workers may cost, by the price of
-	// a check for each request.
-	precautionCost = 0.0015
-	// minPrecautionShare and maxPrecautionShare bound the checks of unseen workers for each request.
-	minPrecautionShare, maxPrecautionShare = 0.02, 0.5
-	// precautionBurst is how many checks of unseen workers may be made at once.
-	precautionBurst = 10.0
+	// precautionShare is how many unseen workers are checked for each request in a fleet of more
+	// dispatchers than are each well informed: there they cost more than they are worth.
+	precautionShare = 0.02
+	// precautionBurst is how many of those checks may be made at once.
+	precautionBurst = 3.0
 	// checkWaitLimit is after how many nanoseconds a request that waits for a health check is looked at
 	// again even if no result has come.
 	checkWaitLimit = int64(300e6)
@@ -28,7 +26,7 @@
 	next        int            // index in the list from which the next round goes on
 	followed    []*workerState // to be checked whatever the trust in the list: they rejected work, or drained
 	precautions float64        // checks of unseen workers that may be made now
-	share       float64        // of those, earned with each request
+	unlimited   bool           // there is no limit to them
 	counts      LeaseCounts
 }
 
@@ -52,15 +50,24 @@
 		HealthChecks:    s.HealthChecks,
 		Dispatchers:     s.Dispatchers,
 	})
-	share := maxPrecautionShare
-	if s.ProbePrice > 0 {
-		share = min(max(precautionCost/s.ProbePrice, minPrecautionShare), maxPrecautionShare)
-	}
-	return leaseState{keeper: keeper, share: share, precautions: precautionBurst}
+	unlimited := float64(s.Dispatchers) <= wellInformedDispatchers
+	return leaseState{keeper: keeper, precautions: precautionBurst, unlimited: unlimited}
 }
 
 // earn adds what one request allows of checks of unseen workers.
-func (l *leaseState) earn() { l.precautions = min(l.precautions+l.share, precautionBurst) }
+func (l *leaseState) earn() { l.precautions = min(l.precautions+precautionShare, precautionBurst) }
+
+// takePrecaution reports whether an unseen worker is to be checked, and counts it.
+func (l *leaseState) takePrecaution() bool {
+	if l.unlimited {
+		return true
+	}
+	if l.precautions < 1 {
+		return false
+	}
+	l.precautions--
+	return true
+}
 
 // mayUse reports whether a worker may be chosen: it may get new work, perhaps after a health check.
 func (l *leaseState) mayUse(now int64, worker *workerState) bool {
@@ -85,10 +92,7 @@
 	case lease.Valid:
 		return false
 	case lease.Unseen:
-		if l.precautions < 1 || !l.keeper.MayCheck(now, &worker.lease) {
-			return false
-		}
-		l.precautions--
+		return l.keeper.MayCheck(now, &worker.lease) && l.takePrecaution()
 	case lease.Expired, lease.Suspect, lease.Draining, lease.Probation:
 	}
 	return true
--- a/cmd/dispatcher/configuration_test.go
+++ b/cmd/dispatcher/configuration_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +20,7 @@
 
 // A configuration that cannot be used ends the start with an error of one line.
 func TestBadConfiguration(t *testing.T) {
+	threads, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
 	discard := slog.New(slog.DiscardHandler)
 	for config, want := range map[string]string{
 		"{":                             "configuration",
@@ -34,6 +37,8 @@
 	require.Error(t, run(t.Context(), func(string) string { return "" }, discard), "no configuration")
 	usable := environ(t, `{"listen":"127.0.0.1:0","settings":`+settings+`}`)
 	require.Error(t, run(t.Context(), usable, discard, "-odd"), "unknown flag")
+	assert.Equal(t, threads, runtime.GOMAXPROCS(0), "the tests' process keeps its threads")
+	assert.Equal(t, memory, debug.SetMemoryLimit(-1), "and its memory")
 }
 
 // listenForWatches accepts connections of dispatchers until the test ends, and writes the name and
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,6 +26,9 @@
 	Hup      <-chan os.Signal
 	Out, Err io.Writer
 	Log      *slog.Logger // nil: as the configuration file says, to Err
+	// SharedProcess says that other things run in this process, which keeps its limits of threads and
+	// memory.
+	SharedProcess bool
 }
 
 // usageError is an error of the command line itself.
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -29,7 +29,9 @@
 // daemonOptions reads the configuration files. The webhook front is configured by a section of
 // configPath or by webhooksPath, not by both.
 func daemonOptions(env Env, configPath, webhooksPath string) (options daemon.Options, err error) {
-	options = daemon.Options{Getenv: env.Getenv, ReloadSignals: env.Hup, Log: env.Log}
+	options = daemon.Options{
+		Getenv: env.Getenv, ReloadSignals: env.Hup, Log: env.Log, SharedProcess: env.SharedProcess,
+	}
 	if configPath != "" {
 		if options.File, err = config.Read(configPath); err != nil {
 			return options, err
