--- a/core.go
+++ b/core.go
@@ -21,8 +21,8 @@
 	loadLimiter loadOrderLimiter
 
 	ready atomic.Bool
-	// Of the endpoint list, in nanoseconds of the process clock, 0 for never: when discovery last
-	// confirmed it, when it does so again at the latest, and until when the list counts as current.
+	// Times of the endpoint list in nanoseconds of the process clock, 0 for never: the latest heartbeat
+	// of discovery, when the next one is overdue, and until when the list counts as current.
 	confirmedAt, heartbeatUntil, currentUntil atomic.Int64
 	classCount                                atomic.Int64 // classes that a request may name
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -39,7 +39,7 @@
 	// confirmDrainDelay is the time from a check that was rejected to the one that confirms it.
 	confirmDrainDelay = int64(50 * time.Millisecond)
 	// recentlySeen is the least time from when a worker was seen to accept work to the check that a
-	// rejection calls for: most workers that reject are full, and accept another call soon.
+	// rejection calls for. One that is full may accept another call within it, which saves the check.
 	recentlySeen = int64(500 * time.Millisecond)
 	// rejectionCheckInterval is the least time between checks of a worker that rejects calls.
 	rejectionCheckInterval = int64(time.Second)
--- a/rules/write.go
+++ b/rules/write.go
@@ -17,8 +17,8 @@
 type Write struct {
 	CallerLeft bool // the client has closed its connection or cancelled the call
 	Revoked    bool // the request has ended, or its worker drains, was removed or has restarted
-	// LeaseExpired says that discovery does not confirm the endpoint list, and that nothing has shown
-	// lately that the worker accepts work.
+	// LeaseExpired says that the endpoint list cannot be relied on, and that nothing has shown lately
+	// that the worker accepts work (package lease).
 	LeaseExpired bool
 	BudgetAge    time.Duration // since the time left that the request states was computed; 0: it states none
 }
