--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -12,9 +12,7 @@
 		return
 	}
 	b.timers.lastRequestAt = now
-	b.endIdleTime(now)
 	b.gossip.earn()
-	b.leases.earn()
 	b.hedges.earn(b.losses.probability)
 	if b.shouldReject(now, request) {
 		if function := b.holders.lookup(request.Func); function != nil && function.served {
--- a/balancer/lease.go
+++ b/balancer/lease.go
@@ -8,11 +8,6 @@
 	watchCheckRate = 50.0
 	// watchCheckBurst is how many of them may be made at once.
 	watchCheckBurst = 10.0
-	// precautionShare is how many unseen workers are checked for each request in a fleet of more
-	// dispatchers than are each well informed: there they cost more than they are worth.
-	precautionShare = 0.02
-	// precautionBurst is how many of those checks may be made at once.
-	precautionBurst = 3.0
 	// checkWaitLimit is after how many nanoseconds a request that waits for a health check is looked at
 	// again even if no result has come.
 	checkWaitLimit = int64(300e6)
@@ -20,14 +15,15 @@
 
 // leaseState holds the leases of the workers, and the rates of health checks that renew them.
 type leaseState struct {
-	keeper      *lease.Keeper
-	watch       float64 // periodic checks that may be made now
-	watchAt     int64
-	next        int            // index in the list from which the next round goes on
-	followed    []*workerState // to be checked whatever the trust in the list: they rejected work, or drained
-	precautions float64        // checks of unseen workers that may be made now
-	unlimited   bool           // there is no limit to them
-	counts      LeaseCounts
+	keeper   *lease.Keeper
+	watch    float64 // periodic checks that may be made now
+	watchAt  int64
+	next     int            // index in the list from which the next round goes on
+	followed []*workerState // to be checked whatever the trust in the list: they rejected work, or drained
+	// checksUnseen says that an unseen worker is checked before a call though the list is current. In a
+	// fleet of more dispatchers than are each well informed that costs more than it is worth.
+	checksUnseen bool
+	counts       LeaseCounts
 }
 
 // LeaseCounts are totals since the start.
@@ -50,23 +46,7 @@
 		HealthChecks:    s.HealthChecks,
 		Dispatchers:     s.Dispatchers,
 	})
-	unlimited := float64(s.Dispatchers) <= wellInformedDispatchers
-	return leaseState{keeper: keeper, precautions: precautionBurst, unlimited: unlimited}
-}
-
-// earn adds what one request allows of checks of unseen workers.
-func (l *leaseState) earn() { l.precautions = min(l.precautions+precautionShare, precautionBurst) }
-
-// takePrecaution reports whether an unseen worker is to be checked, and counts it.
-func (l *leaseState) takePrecaution() bool {
-	if l.unlimited {
-		return true
-	}
-	if l.precautions < 1 {
-		return false
-	}
-	l.precautions--
-	return true
+	return leaseState{keeper: keeper, checksUnseen: float64(s.Dispatchers) <= wellInformedDispatchers}
 }
 
 // mayUse reports whether a worker may be chosen: it may get new work, perhaps after a health check.
@@ -86,13 +66,13 @@
 }
 
 // needsCheck reports whether a worker is to be health checked before it gets a call: it must be, or it
-// is unseen and there is room for the check.
+// is unseen and that is worth a check.
 func (l *leaseState) needsCheck(now int64, worker *workerState) bool {
 	switch l.keeper.Status(now, &worker.lease) {
 	case lease.Valid:
 		return false
 	case lease.Unseen:
-		return l.keeper.MayCheck(now, &worker.lease) && l.takePrecaution()
+		return l.checksUnseen && l.keeper.MayCheck(now, &worker.lease)
 	case lease.Expired, lease.Suspect, lease.Draining, lease.Probation:
 	}
 	return true
@@ -101,8 +81,9 @@
 // ConfirmEndpoints takes a heartbeat of discovery: every change of the endpoint list that it has told was
 // passed to UpdateEndpoints.
 func (b *Balancer) ConfirmEndpoints(now int64) {
-	b.advanceClock(now)
+	b.observeTime(now)
 	b.leases.keeper.Confirm(now)
+	b.scheduleLeaseRound(b.now)
 	b.armTimer()
 }
 
@@ -138,12 +119,23 @@
 	return true
 }
 
-// idleUntil returns when maintenance is due though no request comes: when the next heartbeat of discovery
-// is overdue, or in the usual pace if it is. ok is false if leases are not kept.
-func (b *Balancer) idleUntil(now int64) (at int64, ok bool) {
-	if !b.leases.keeper.Enabled() {
-		return 0, false
+// scheduleLeaseRound schedules the next lease round of an idle dispatcher, unless one is scheduled: for when
+// the next heartbeat of discovery is overdue, or in the pace of maintenance if it is.
+func (b *Balancer) scheduleLeaseRound(now int64) {
+	if !b.leases.keeper.Enabled() || b.timers.leaseRoundAt > 0 {
+		return
 	}
 	round := b.shortestObjective / maintenanceRounds
-	return max(b.leases.keeper.HeartbeatUntil(), now) + round, true
+	b.timers.leaseRoundAt = max(b.leases.keeper.HeartbeatUntil(), now) + round
+	b.timers.entries.push(timerEntry{at: b.timers.leaseRoundAt, leases: true})
+}
+
+// runLeaseRound renews leases while no maintenance does, since no request comes. It does nothing else: an
+// idle dispatcher sends no gossip.
+func (b *Balancer) runLeaseRound(now int64) {
+	b.timers.leaseRoundAt = 0
+	if b.timers.maintenanceAt == 0 {
+		b.renewLeases(now)
+	}
+	b.scheduleLeaseRound(now)
 }
--- a/balancer/lease_test.go
+++ b/balancer/lease_test.go
@@ -100,14 +100,20 @@
 	assert.Len(t, host.attempts, 1)
 }
 
-// While heartbeats come and no worker contradicts the list, checks of unseen workers stay within their
-// share of the requests in a fleet of many dispatchers.
-func TestPrecautionsAreLimited(t *testing.T) {
+// While heartbeats come and no worker contradicts the list, unseen workers are checked first by one of few
+// dispatchers, and not by one of many, for whom most workers are unseen.
+func TestChecksOfUnseenWorkers(t *testing.T) {
+	assert.Zero(t, checksOfUnseen(t, 20))
+	assert.GreaterOrEqual(t, checksOfUnseen(t, 3), int64(40))
+}
+
+// checksOfUnseen returns the health checks that 200 requests of as many functions at 40 workers cause.
+func checksOfUnseen(t *testing.T, dispatchers int) int64 {
+	t.Helper()
 	settings := leaseSettings()
-	settings.Dispatchers = 20
+	settings.Dispatchers = dispatchers
 	balancer, host := newTestBalancer(t, settings, 40)
-	const requests = 200
-	for i := range int64(requests) {
+	for i := range int64(200) {
 		now := 10 * ms * i
 		balancer.ConfirmEndpoints(now)
 		request := Request{ID: string(rune('a' + i)), Func: FuncID(i), Deadline: now + 3000*ms, Tenant: -1}
@@ -117,7 +123,23 @@
 		}
 		host.healthChecks = nil
 	}
-	const limit = precautionBurst + precautionShare*requests
-	assert.LessOrEqual(t, balancer.LeaseCounts().Checks, int64(limit))
-	assert.GreaterOrEqual(t, balancer.LeaseCounts().Checks, int64(precautionBurst))
+	return balancer.LeaseCounts().Checks
+}
+
+// The rounds of an idle dispatcher cost other dispatchers nothing: it sends no gossip in them.
+func TestIdleDispatcherSendsNoGossip(t *testing.T) {
+	settings := leaseSettings()
+	settings.Gossip, settings.Dispatchers = true, 20
+	balancer, host := newTestBalancer(t, settings, 3)
+	ok := func(WorkerID) Result { return OK }
+	balancer.ConfirmEndpoints(0)
+	balancer.HandleRequest(100*ms, Request{ID: "a", Func: 7, Deadline: 3100 * ms, Tenant: -1})
+	idle := idleObjectives*settings.Classes[0].LatencyObjective + 1000*ms
+	runUntil(balancer, host, 100*ms, idle, ok)
+	host.messages = nil
+	for now := idle; now < idle+20_000*ms; now += 1000 * ms {
+		balancer.ConfirmEndpoints(now)
+		runUntil(balancer, host, now, now+950*ms, ok)
+	}
+	assert.Empty(t, host.messages)
 }
--- a/balancer/maintenance.go
+++ b/balancer/maintenance.go
@@ -17,25 +17,18 @@
 // advanceClock takes the time of an event, detects a stall, and schedules the next maintenance
 // round.
 func (b *Balancer) advanceClock(now int64) {
-	b.now = max(b.now, now)
-	b.excuseStall(b.now)
+	b.observeTime(now)
 	if b.timers.maintenanceAt == 0 {
-		b.scheduleMaintenance(b.now + b.shortestObjective/maintenanceRounds)
+		b.timers.maintenanceAt = b.now + b.shortestObjective/maintenanceRounds
 		b.pruneActive(b.now)
+		b.schedule(b.timers.maintenanceAt, nil)
 	}
 }
 
-// scheduleMaintenance schedules the next maintenance round.
-func (b *Balancer) scheduleMaintenance(at int64) {
-	b.timers.maintenanceAt = at
-	b.schedule(at, nil)
-}
-
-// endIdleTime brings the next maintenance round forward to the usual pace, as a request comes.
-func (b *Balancer) endIdleTime(now int64) {
-	if soon := now + b.shortestObjective/maintenanceRounds; b.timers.maintenanceAt > soon {
-		b.scheduleMaintenance(soon)
-	}
+// observeTime takes the time of an event and detects a stall.
+func (b *Balancer) observeTime(now int64) {
+	b.now = max(b.now, now)
+	b.excuseStall(b.now)
 }
 
 // excuseStall gives all attempts the time for which the process stood still: no worker is to blame
@@ -54,13 +47,21 @@
 
 // HandleTimer takes that the host's timer of a generation has fired.
 func (b *Balancer) HandleTimer(now int64, generation int64) {
-	b.advanceClock(now)
+	if b.timers.nextIsLeaseRound() {
+		b.observeTime(now)
+	} else {
+		b.advanceClock(now)
+	}
 	b.timers.expired(generation)
 	for {
 		entry, due := b.timers.popDue(now)
 		if !due {
 			break
 		}
+		if entry.leases {
+			b.runLeaseRound(now)
+			continue
+		}
 		b.handleDue(now, entry.request)
 	}
 	b.armTimer()
@@ -70,9 +71,7 @@
 func (b *Balancer) handleDue(now int64, request *requestState) {
 	switch {
 	case request == nil:
-		if now >= b.timers.maintenanceAt { // else it was scheduled anew
-			b.runMaintenance(now)
-		}
+		b.runMaintenance(now)
 	case request.done || request.streaming:
 	case now >= b.answerBy(request):
 		b.finish(now, request, EndedByDeadline)
@@ -84,7 +83,7 @@
 
 // schedule has a request, or with nil the maintenance, looked at when a time comes.
 func (b *Balancer) schedule(at int64, request *requestState) {
-	b.timers.entries.push(timerEntry{at, request})
+	b.timers.entries.push(timerEntry{at: at, request: request})
 }
 
 // scheduleRecheck has a request looked at again at a time, unless it must be answered before.
@@ -115,10 +114,6 @@
 	b.timers.maintenanceAt = 0
 	if now-b.timers.lastRequestAt < idleObjectives*b.shortestObjective || b.settings.PollEndpoints {
 		b.advanceClock(now)
-		return
-	}
-	if at, ok := b.idleUntil(now); ok {
-		b.scheduleMaintenance(at)
 	}
 }
 
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -3,7 +3,8 @@
 // timerEntry is a time at which a request is to be looked at again.
 type timerEntry struct {
 	at      int64
-	request *requestState // nil: maintenance
+	request *requestState // nil: maintenance, or a lease round
+	leases  bool          // a lease round
 }
 
 // timerQueue holds the times at which something is due, and the state of the host's one timer.
@@ -12,6 +13,7 @@
 	deadline      int64 // of the host's timer; noDeadline: it is not set
 	generation    int64 // number of the host's last timer
 	stalledAt     int64 // when a stall of the process was last detected
+	leaseRoundAt  int64 // when the next lease round is due; 0: none is scheduled
 	maintenanceAt int64 // when the next round is due; 0: none is scheduled
 	lastRequestAt int64
 	sweptAt       int64
@@ -51,6 +53,9 @@
 	return late, true
 }
 
+// nextIsLeaseRound reports whether the first entry is a lease round.
+func (q *timerQueue) nextIsLeaseRound() bool { return len(q.entries) > 0 && q.entries[0].leases }
+
 // popDue removes the first entry that is due. At the instant of a stall nothing is due: what came
 // meanwhile is read before anything is given up.
 func (q *timerQueue) popDue(now int64) (entry timerEntry, due bool) {
--- a/balancer/timers_test.go
+++ b/balancer/timers_test.go
@@ -57,7 +57,7 @@
 	ours, theirs := timerHeap{}, &standardHeap{}
 	for i := range 20_000 {
 		if rng.IntN(5) < 3 || len(ours) == 0 {
-			x := timerEntry{int64(rng.IntN(40)), &requestState{arrivedAt: int64(i)}}
+			x := timerEntry{at: int64(rng.IntN(40)), request: &requestState{arrivedAt: int64(i)}}
 			ours.push(x)
 			heap.Push(theirs, x)
 		} else if got, want := ours.pop(), heap.Pop(theirs).(timerEntry); got != want {
