--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -22,6 +22,9 @@
 	CouldNot = 2 // the case could not run
 )
 
+// firstPort is the first port that is tried for an address.
+const firstPort = 9100
+
 // limit is the longest time that a case may take; its processes are killed after that.
 const limit = 110 * time.Second
 
@@ -134,7 +137,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next++
-	return fmt.Sprintf("127.%d.%d.%d:9100", s.net, 1+s.next/200, 1+s.next%200)
+	for port := firstPort; ; port++ {
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", s.net, 1+s.next/200, 1+s.next%200, port)
+		listener, err := net.Listen("tcp", addr)
+		if err == nil {
+			listener.Close()
+			return addr
+		}
+		if port == firstPort+100 {
+			return addr // whoever listens there reports the error
+		}
+	}
 }
 
 // Write writes a file of the run and returns its path. It replaces the file at once, so that no
