--- a/review/cmd/keyed/main.go
+++ b/review/cmd/keyed/main.go
@@ -30,6 +30,8 @@
 		class("survey-submit", 1500*time.Millisecond, 6*time.Second, "non_idempotent", "all"),
 	}
 	settings["zones"] = halls
+	rules, _ := settings["rules"].(map[string]any)
+	rules["drain_grace_ns"] = 250 * time.Millisecond
 	permissions, _ := settings["permissions"].(map[string]any)
 	permissions["second_copies"], permissions["peers"], permissions["send_cap"] = false, false, 6
 	return settings
--- a/review/stage/dispatcher.go
+++ b/review/stage/dispatcher.go
@@ -22,6 +22,9 @@
 	Zones   = []string{"north-room", "south-room"}
 )
 
+// seed is that of the dispatchers' random numbers, in hexadecimal digits.
+const seed = "5600000000000056"
+
 // Config is a dispatcher's configuration file of the platform.
 type Config struct {
 	Listen, Console, Channel string
@@ -60,7 +63,7 @@
 	}
 	event := map[string]any{"cursor": 1, "nodes": map[string]any{"revision": 1, "complete": true, "members": members}}
 	file := map[string]any{
-		"name": "n0", "listen": c.Listen, "seed": "8c1f30d27a5be964", "channel": c.Channel,
+		"name": "n0", "listen": c.Listen, "seed": seed, "channel": c.Channel,
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  map[string]any{"cursor": 1, "cmds": []any{event}}, "settings": c.Settings,
 	}
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -65,5 +65,5 @@
 	if s.Config.Console != "" {
 		ready = "http://" + s.Config.Console + "/control/ready"
 	}
-	return dispatcher, dispatcher.awaitYes(ready, 6*time.Second)
+	return dispatcher, dispatcher.awaitYes(ready, 10*time.Second)
 }
