--- a/review/second/cmd/standin/stage.go
+++ b/review/second/cmd/standin/stage.go
@@ -14,6 +14,8 @@
 	dispatchers = 3
 	// settled is how long after SIGHUP the new classes bind at the latest, by the operators' page.
 	settled = 1200 * time.Millisecond
+	// firstSecond is the time after a start in which no SIGHUP comes, with some room.
+	firstSecond = 1500 * time.Millisecond
 )
 
 var errWarmUp = errors.New("a call of the warm-up was not served")
@@ -26,6 +28,12 @@
 	return rig.Call{Class: class, Function: function(n), Body: fmt.Sprint(body, " ", n), Patience: 4 * time.Second}
 }
 
+// withPatience returns a call with another patience.
+func withPatience(call rig.Call, patience time.Duration) rig.Call {
+	call.Patience = patience
+	return call
+}
+
 // countApplied returns how often each body ran without being dropped as a repeat.
 func countApplied(runs []rig.Run) map[string]int {
 	applied := map[string]int{}
@@ -62,13 +70,16 @@
 	}
 }
 
-// warmUp has dispatcher 0 serve calls of count functions, so that copies are loaded.
-func warmUp(tier *rig.Tier, class string, count int) error {
+// warmUp has dispatcher 0 serve calls of count functions, of the first class of the site, so that
+// copies are loaded.
+func warmUp(tier *rig.Tier, count int) error {
+	class := tier.Site.Classes[0]
 	var group sync.WaitGroup
 	statuses := make([]int, count)
 	for n := range count {
 		group.Go(func() {
-			statuses[n] = rig.SendNew(tier.Record, tier.Nodes[0].Addr, call(class, n, "warm")).Status
+			warm := withPatience(call(class.Name, n, "warm"), time.Duration(class.GiveUp))
+			statuses[n] = rig.SendNew(tier.Record, tier.Nodes[0].Addr, warm).Status
 		})
 	}
 	group.Wait()
@@ -88,3 +99,11 @@
 	status, _, err := rig.SendMessage(tier.Nodes[0].Webhooks, id, class, function(n), body)
 	tier.Record.Logf("sender: message %s answered: status=%d error=%v", id, status, err)
 }
+
+// withClass returns a site with one more class, which has the rules of the first.
+func withClass(site rig.Site, name string) rig.Site {
+	added := site.Classes[0]
+	added.Name = name
+	site.Classes = append(site.Classes[:len(site.Classes):len(site.Classes)], added)
+	return site
+}
