--- a/review/second/cmd/standin/secondrun.go
+++ b/review/second/cmd/standin/secondrun.go
@@ -20,13 +20,13 @@
 	}
 	defer tier.Close()
 	node := tier.Nodes[0]
-	if err := node.WriteWebhooks("", "ironbridge-haul", ""); err != nil {
+	if err := node.WriteWebhooks("ironbridge-haul"); err != nil {
 		return nil, err
 	}
 	if _, err := tier.StartAll(); err != nil {
 		return nil, err
 	}
-	if err := warmUp(tier, "path-check", 5); err != nil {
+	if err := warmUp(tier, 5); err != nil {
 		return nil, err
 	}
 	var group sync.WaitGroup
