Case 10: executors taken out by two consoles in an upgrade are used again

Cause: each process replaces the ban file by its own set; the other then lifts what is missing there.

Change: the case; nothing is fixed. Four executors are taken out by the consoles of both runs in turn, each with a yes.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/second/bin/standin ] && [ -x bin/dispatcher ] || { echo "not built" >&2; exit 2; }
-exec review/second/bin/standin second-run "review/10"
+exec review/second/bin/standin take-out "review/10"
