wallclock steps the clock on arm64 as on amd64, so the tagged tests run on both

Cause: internal/fault/wallclock knew amd64 only. On arm64 its callers' tests were not built, which left failWrites unused for the linter, and a soak node that was to step its clock ended at its start ("node 0 is not ready").

Change: what differs stands in jump_amd64.go and jump_arm64.go: the entry symbol, both jumps and the system call. The tests lose the tag amd64; no assertion changed.

--- a/internal/fault/wallclock/wallclock.go
+++ b/internal/fault/wallclock/wallclock.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64 && cgo
+//go:build linux && cgo && (amd64 || arm64)
 
 // Package wallclock steps the wall clock of the running process only, so that tests can show how a
 // program reacts to a step of the system's clock. The monotonic clock and timers do not change, as
@@ -15,14 +15,14 @@
 /*
 #cgo CFLAGS: -O2 -fno-stack-protector
 #include <time.h>
-#include <sys/syscall.h>
+
+// kernel_clock_gettime queries the kernel without the vDSO; each architecture defines its own.
+int kernel_clock_gettime(clockid_t id, struct timespec *ts);
 
 static volatile long long wall_offset_ns;
 
 static int stepped_clock_gettime(clockid_t id, struct timespec *ts) {
-	long result;
-	__asm__ volatile("syscall" : "=a"(result) : "0"(SYS_clock_gettime), "D"((long)id), "S"(ts) : "rcx", "r11",
-		"memory");
+	int result = kernel_clock_gettime(id, ts);
 	if (result == 0 && (id == CLOCK_REALTIME || id == CLOCK_REALTIME_COARSE)) {
 		long long ns = ts->tv_nsec + wall_offset_ns;
 		long long seconds = ns / 1000000000LL;
@@ -34,7 +34,7 @@
 		ts->tv_sec += seconds;
 		ts->tv_nsec = ns;
 	}
-	return (int)result;
+	return result;
 }
 
 static void *stepped_entry(void) { return (void *)stepped_clock_gettime; }
@@ -46,13 +46,11 @@
 	"bufio"
 	"bytes"
 	"debug/elf"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -62,12 +60,6 @@
 // ErrUnsupported states that the vDSO of this process cannot be patched.
 var ErrUnsupported = errors.New("wallclock: the vDSO of this process cannot be patched")
 
-const (
-	entrySymbol    = "__vdso_clock_gettime"
-	jumpLength     = 5  // jmp rel32
-	absoluteLength = 12 // movabs rax, target; jmp rax
-)
-
 var (
 	installOnce sync.Once
 	installErr  error
@@ -97,23 +89,15 @@
 	if err != nil {
 		return err
 	}
-	far := size - absoluteLength
-	if len(bytes.Trim(image[far:], "\x00")) > 0 || entry%8 != 0 {
+	far := size - farJumpLength
+	if len(bytes.Trim(image[far:], "\x00")) > 0 || entry%entryAlignment != 0 {
 		return ErrUnsupported
 	}
 	if err := unix.Mprotect(image, unix.PROT_READ|unix.PROT_WRITE|unix.PROT_EXEC); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnsupported, err)
 	}
-	copy(image[far:], []byte{0x48, 0xb8})
-	binary.LittleEndian.PutUint64(image[far+2:], uint64(uintptr(C.stepped_entry())))
-	copy(image[far+10:], []byte{0xff, 0xe0})
-	word := (*uint64)(unsafe.Pointer(&image[entry]))
-	old := atomic.LoadUint64(word)
-	var jump [8]byte
-	binary.LittleEndian.PutUint64(jump[:], old)
-	jump[0] = 0xe9
-	binary.LittleEndian.PutUint32(jump[1:], uint32(int32(far-entry-jumpLength)))
-	atomic.StoreUint64(word, binary.LittleEndian.Uint64(jump[:]))
+	writeFarJump(image[far:], uint64(uintptr(C.stepped_entry())))
+	writeNearJump(image, entry, far)
 	return nil
 }
 
@@ -148,7 +132,7 @@
 		return 0, fmt.Errorf("%w: %w", ErrUnsupported, err)
 	}
 	for _, symbol := range symbols {
-		if symbol.Name == entrySymbol && int(symbol.Value)+8 <= len(image) {
+		if symbol.Name == entrySymbol && int(symbol.Value)+entryLength <= len(image) {
 			return int(symbol.Value), nil
 		}
 	}
--- a/webhook/disk_test.go
+++ b/webhook/disk_test.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64 && cgo
+//go:build linux && cgo
 
 package webhook
 
