Decisions that the consoles of two processes make in an upgrade are merged

Cause: a console wrote its own set of bans over the file without reading what the other process had written since its last look (0.2 s); the other then found the file changed and lifted its own bans.

Change: a change is made under the lock of a file beside the ban file: read, apply, write. A decision that cannot be written, for want of the lock or the disk, stays in force over what the file says and is retried at each poll; before, the next change of the file lifted it. The decisions that outlast the file are admin.Decisions, pure.

--- a/internal/adminapi/banfile.go
+++ b/internal/adminapi/banfile.go
@@ -2,23 +2,16 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"time"
 
-	"oakthread"
 	"oakthread/balancer"
 )
 
-// banPollInterval is the interval at which the ban file is read for changes by another process: the
-// next version of the dispatcher, which runs beside this one while this one drains.
-const banPollInterval = 200 * time.Millisecond
-
 // BanFilePath returns the path in dir of the ban file of the dispatcher that listens at listen. The
 // next version of the dispatcher finds the file by the same name.
 func BanFilePath(dir, listen string) string {
@@ -31,12 +24,30 @@
 	Banned []uint32 `json:"banned"`
 }
 
-// banFile is the file that holds the ids of the workers that operators have taken offline.
+// lockSuffix is appended to the path of the ban file to name the file whose lock its writers hold.
+// The ban file itself is replaced at each write, so a lock on it would not last.
+const lockSuffix = ".lock"
+
+// banFile is the file that holds the ids of the workers that operators have taken offline. Two
+// processes may share it. Who changes it holds its lock from before it reads the file until it has
+// written it, so that no change of the other process is lost.
 type banFile struct {
 	path    string // empty: no file is kept
 	content []byte // as last read or written
 }
 
+// lock locks the file against changes by another process. unlock is never nil.
+func (f *banFile) lock() (unlock func(), err error) {
+	if f.path == "" {
+		return func() {}, nil
+	}
+	unlock, err = lockFile(f.path + lockSuffix)
+	if err != nil {
+		return func() {}, err
+	}
+	return unlock, nil
+}
+
 // read returns the banned workers if the file has changed since it was last read or written. Content
 // that cannot be decoded is reported once.
 func (f *banFile) read() (banned []balancer.WorkerID, changed bool, err error) {
@@ -59,7 +70,7 @@
 	return banned, true, nil
 }
 
-// write replaces the file atomically.
+// write replaces the file atomically. The caller holds its lock.
 func (f *banFile) write(banned []balancer.WorkerID) error {
 	if f.path == "" {
 		return nil
@@ -82,44 +93,3 @@
 	f.content = raw
 	return nil
 }
-
-// watchBans applies changes that another process makes to the ban file, until ctx is done.
-func (s *Server) watchBans(ctx context.Context) {
-	if s.bans.path == "" {
-		return
-	}
-	ticker := time.NewTicker(banPollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if update := s.reloadBans(); len(update.Endpoints) > 0 {
-			s.sources.UpdateEndpoints(update)
-		}
-	}
-}
-
-// reloadBans applies the ban file if it has changed, and returns the resulting update of the endpoint
-// list.
-func (s *Server) reloadBans() oakthread.EndpointUpdate {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	banned, changed, err := s.bans.read()
-	if err != nil {
-		s.log.Error("ban file read failed", "path", s.bans.path, "error", err)
-	}
-	if !changed {
-		return oakthread.EndpointUpdate{}
-	}
-	return s.state.SetEjected(banned, time.Now())
-}
-
-// saveBans writes the bans in force to the file. mu must be held.
-func (s *Server) saveBans() {
-	if err := s.bans.write(s.state.Ejected()); err != nil {
-		s.log.Error("ban file write failed", "path", s.bans.path, "error", err)
-	}
-}
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -54,6 +54,8 @@
 	mu           sync.Mutex
 	state        admin.State
 	bans         banFile
+	unsaved      admin.Decisions // in force, but not in the ban file yet
+	banLogLimit  neterr.LogLimit
 	lastCounters Counters
 }
 
@@ -61,7 +63,10 @@
 // written to the file banPath; if it is empty, they are not stored. workerID maps the id of a worker
 // in the endpoint list to the dispatcher's.
 func New(sources Sources, banPath string, workerID func(string) balancer.WorkerID, log *slog.Logger) *Server {
-	s := &Server{sources: sources, workerID: workerID, log: log, bans: banFile{path: banPath}}
+	s := &Server{
+		sources: sources, workerID: workerID, log: log,
+		bans: banFile{path: banPath}, unsaved: admin.Decisions{},
+	}
 	s.reloadBans() // the core has no endpoints yet, so there is no update to pass on
 	return s
 }
--- a/internal/adminapi/workers.go
+++ b/internal/adminapi/workers.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
 
-	"oakthread"
 	"oakthread/balancer"
 )
 
@@ -40,39 +38,21 @@
 }
 
 // handleOffline takes a worker offline until an operator puts it back online.
-func (s *Server) handleOffline(w http.ResponseWriter, r *http.Request) {
-	s.changeWorker(w, r, true, s.state.Eject)
-}
+func (s *Server) handleOffline(w http.ResponseWriter, r *http.Request) { s.changeWorker(w, r, true) }
 
 // handleOnline puts a worker that was taken offline back online.
-func (s *Server) handleOnline(w http.ResponseWriter, r *http.Request) {
-	s.changeWorker(w, r, false, func(id balancer.WorkerID) (oakthread.EndpointUpdate, bool) {
-		return s.state.Restore(id, time.Now())
-	})
-}
+func (s *Server) handleOnline(w http.ResponseWriter, r *http.Request) { s.changeWorker(w, r, false) }
 
-// changeWorker applies an operator's decision on a worker, saves the bans and passes the update of
-// the endpoint list to the core. apply is called with mu held; it returns false for an unknown
-// worker.
-func (s *Server) changeWorker(
-	w http.ResponseWriter, r *http.Request, offline bool,
-	apply func(balancer.WorkerID) (oakthread.EndpointUpdate, bool),
-) {
+// changeWorker applies an operator's decision on a worker, stores it and passes the updates of the
+// endpoint list to the core.
+func (s *Server) changeWorker(w http.ResponseWriter, r *http.Request, offline bool) {
 	name := r.PathValue("id")
-	id := s.workerID(name)
-	s.mu.Lock()
-	update, known := apply(id)
-	if known {
-		s.saveBans()
-	}
-	s.mu.Unlock()
+	updates, known := s.changeBan(s.workerID(name), offline)
+	s.publish(updates...)
 	if !known {
 		http.Error(w, fmt.Sprintf("executor %q is not known", name), http.StatusNotFound)
 		return
 	}
-	if len(update.Endpoints) > 0 {
-		s.sources.UpdateEndpoints(update)
-	}
 	s.log.Info("admin worker state changed", "worker_id", name, "offline", offline)
 	_, _ = w.Write([]byte("ok\n"))
 }
