All parts read the classes in force from one source, an immutable table for each reload

The server for clients and the pool of connections each had a copy that a reload had to remember to replace.

Change: admin.Classes becomes the package classes: Table is immutable and numbered, Source hands out the current one, and the server and the pool are handed the Source. A reload gives the core the new classes first, then replaces the table.

--- a/admin/state.go
+++ b/admin/state.go
@@ -1,5 +1,5 @@
-// Package admin holds what operators change in a running dispatcher: the workers ejected manually,
-// whether the dispatcher is in service, and the table of classes across reloads of the settings.
+// Package admin holds what operators change in a running dispatcher: the workers ejected manually
+// and whether the dispatcher is in service.
 //
 // It is a pure state machine without sockets, clocks, files or goroutines: its inputs are endpoint
 // updates and operator requests, its outputs are endpoint updates for the core. It does not select
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -28,7 +28,7 @@
 
 // buildWorkers creates the pool of connections to workers.
 func (d *daemon) buildWorkers() {
-	d.workers = platform.NewExecutorPool(d.cfg.Settings, d.sockets.workers)
+	d.workers = platform.NewExecutorPool(d.cfg.Settings, d.classes, d.sockets.workers)
 	d.workers.Log = d.log
 	d.workers.SetNetwork(d.options.Network)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/internal/adminapi"
 	"oakthread/internal/config"
 	"oakthread/internal/endpointcache"
@@ -66,6 +67,7 @@
 	options  Options
 	cfg      *platform.Config
 	settings balancer.Settings
+	classes  *classes.Source // the classes in force, which a reload replaces
 	sockets  socketBudget
 	log      *slog.Logger
 	parts
@@ -101,6 +103,7 @@
 		options:       options,
 		cfg:           cfg,
 		settings:      cfg.Settings.BalancerSettings(),
+		classes:       classes.NewSource(classes.New(cfg.Settings.ClassDefinitions())),
 		sockets:       newSocketBudget(cfg, options),
 		log:           options.Log.With("name", cfg.Name),
 		webhooksEnded: make(chan error, 1),
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -26,10 +26,10 @@
 	if err := d.startWebhooks(ctx); err != nil {
 		return nil, err
 	}
-	d.server = platform.NewServer(d.core, d.cfg.Settings)
+	d.server = platform.NewServer(d.core, d.cfg.Settings, d.classes)
 	d.server.ReadinessGate = d.adminAPI.Ready
 	d.server.OnViolation = d.recordViolation
-	d.reloader.apply = newClassUpdater(d.cfg, d.core, d.server, d.workers).apply
+	d.reloader.apply = (&classUpdater{core: d.core, source: d.classes}).apply
 	go d.reloader.run(d.background)
 	if err := d.startAdminAPI(ctx); err != nil {
 		return nil, err
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 
 	"oakthread"
 )
@@ -20,8 +21,9 @@
 	if len(call.Body) == 0 {
 		method = http.MethodGet
 	}
+	class, _ := p.classes.Table().Numbered(call.Class) // the core accepts only numbers that are in use
 	response, unsent, err := p.roundTrip(ctx, attempt.Worker, executorRequest{
-		method: method, path: executorCallPath + (*p.classNames.Load())[call.Class], header: header, body: call.Body,
+		method: method, path: executorCallPath + url.PathEscape(class.Name), header: header, body: call.Body,
 		deadline: attempt.Deadline, beforeWrite: attempt.BeforeWrite,
 	})
 	if err != nil {
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -25,7 +25,7 @@
 // Only the responses that the protocol defines so are taken as proof that a request did not run.
 // Otherwise a non-idempotent call could be sent again and run twice.
 func TestParseReply(t *testing.T) {
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	for _, c := range []struct {
 		status int
 		header string
@@ -70,7 +70,7 @@
 			received, append(header["Accept-Encoding"], header["X-Replay-Key"]...))
 	}))
 	defer backend.Close()
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	defer pool.Close()
 	endpoint := endpointAt(backend.Listener.Addr().String())
 	reply := pool.Send(t.Context(), attemptTo(endpoint, body))
@@ -119,7 +119,7 @@
 				}()
 			}
 		}()
-		pool := NewExecutorPool(testSettings(t), 10)
+		pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 		pool.reuseDelay = 0 // so that the second attempt reuses the connection at once
 		endpoint := endpointAt(ln.Addr().String())
 		assert.Equal(t, balancer.OK, pool.Send(t.Context(), attemptTo(endpoint, body)).Result)
@@ -136,7 +136,7 @@
 	require.NoError(t, err)
 	addr := ln.Addr().String()
 	ln.Close()
-	pool := NewExecutorPool(testSettings(t), 1)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 1)
 	assert.Equal(t, balancer.ConnectFailed, pool.Send(t.Context(), attemptTo(endpointAt(addr), "x")).Result)
 	assert.Empty(t, pool.socketSlots, "a failed dial did not free its slot")
 	pool.socketSlots <- struct{}{}
@@ -154,7 +154,7 @@
 	connectReset := &net.OpError{Op: "dial", Err: syscall.ECONNRESET}
 	for name, resetErr := range map[string]error{"during the connect": connectReset, "after the connect": nil} {
 		for resets, want := range []balancer.Result{balancer.OK, balancer.OK, balancer.NotSent} {
-			pool := NewExecutorPool(testSettings(t), 10)
+			pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 			dial, dials := pool.dialContext, 0
 			pool.dialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := dial(ctx, network, addr)
@@ -183,7 +183,7 @@
 	}
 	backend.Start()
 	defer backend.Close()
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	defer pool.Close()
 	pool.reuseDelay = 0 // connections can be reused at once
 	endpoint := endpointAt(backend.Listener.Addr().String())
--- a/internal/platform/executorconn_test.go
+++ b/internal/platform/executorconn_test.go
@@ -128,7 +128,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr, seen := rawExecutor(t, c.first, ok("two"))
-			pool := NewExecutorPool(testSettings(t), 10)
+			pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 			defer pool.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
@@ -213,7 +213,7 @@
 			}()
 		}
 	}()
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	defer pool.Close()
 	pool.reuseDelay = time.Hour // does not elapse during the test, even on a slow machine
 	pool.transportsFor(endpointAt(ln.Addr().String())).queued = maxQueuedRequests
@@ -236,7 +236,7 @@
 // first.
 func TestRetiredConnectionsCarryNoRequest(t *testing.T) {
 	executor := newRecordingExecutor(t, nil)
-	pool := NewExecutorPool(testSettings(t), 1)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 1)
 	defer pool.Close()
 	endpoint := endpointAt(executor.addr())
 	require.Equal(t, balancer.OK, pool.Send(t.Context(), attemptTo(endpoint, "x")).Result)
--- a/internal/platform/executorpool.go
+++ b/internal/platform/executorpool.go
@@ -5,13 +5,13 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/internal/neterr"
 	"oakthread/internal/wire"
 )
@@ -38,7 +38,7 @@
 	// Log receives dials at level debug, and at level warn connects that failed for lack of local
 	// resources; nil disables both. It must be set before first use.
 	Log               *slog.Logger
-	classNames        atomic.Pointer[[]string] // indexed by class number, path-escaped; may only grow
+	classes           *classes.Source
 	reportFields      []string
 	connectTimeout    time.Duration
 	dialContext       DialFunc
@@ -56,9 +56,11 @@
 	conns   map[*executorConn]struct{}
 }
 
-// NewExecutorPool returns a pool that has at most sockets connections open at a time.
-func NewExecutorPool(settings *wire.Settings, sockets int) *ExecutorPool {
+// NewExecutorPool returns a pool for attempts of the classes of source, which has at most sockets
+// connections open at a time.
+func NewExecutorPool(settings *wire.Settings, source *classes.Source, sockets int) *ExecutorPool {
 	p := &ExecutorPool{
+		classes:        source,
 		connectTimeout: settings.ConnectTimeout(),
 		dialContext:    (&net.Dialer{}).DialContext,
 		idleTimeout:    time.Duration(idleTimeoutRatio * float64(settings.ConnIdle())),
@@ -67,11 +69,6 @@
 		executors:      map[balancer.WorkerID]*executorTransports{},
 		conns:          map[*executorConn]struct{}{},
 	}
-	var names []string
-	for _, class := range settings.Categories {
-		names = append(names, class.Name)
-	}
-	p.SetClasses(names)
 	if settings.Feedback.How != "off" {
 		p.reportFields = settings.Feedback.Fields
 	}
@@ -82,16 +79,6 @@
 // SetNetwork makes the pool dial through network. It must be called before first use.
 func (p *ExecutorPool) SetNetwork(network Network) { p.dialContext = network.dial(p.dialContext) }
 
-// SetClasses sets the class names that are used in request paths, indexed by class number. The list
-// must cover every class number in use.
-func (p *ExecutorPool) SetClasses(names []string) {
-	escaped := make([]string, len(names))
-	for i, name := range names {
-		escaped[i] = url.PathEscape(name)
-	}
-	p.classNames.Store(&escaped)
-}
-
 // LocalDialFailures returns how many connects failed for lack of local resources. Such connects are
 // retried.
 func (p *ExecutorPool) LocalDialFailures() int64 { return p.localDialFailures.Load() }
--- a/internal/platform/executorpool_test.go
+++ b/internal/platform/executorpool_test.go
@@ -18,7 +18,7 @@
 
 // An attempt that times out before a connection is established is classified as not sent.
 func TestTimeoutBeforeAnyWriteIsNotSent(t *testing.T) {
-	pool := NewExecutorPool(testSettings(t), 1)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 1)
 	pool.socketSlots <- struct{}{}
 	attempt := attemptTo(endpointAt("127.0.0.1:1"), "x")
 	assert.Equal(t, balancer.NotSent, pool.Send(canceledContext(t), attempt).Result)
@@ -28,7 +28,7 @@
 // Transports that were created for a removed executor are removed once they have been unused for
 // long enough.
 func TestUnusedTransportsAreDropped(t *testing.T) {
-	pool := NewExecutorPool(testSettings(t), 1)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 1)
 	endpoint := endpointAt("127.0.0.1:1")
 	for i := range 20 {
 		endpoint.ID = balancer.WorkerID(i)
@@ -41,7 +41,7 @@
 // nor on a reused one, and is classified as not sent.
 func TestRevokedRequestsAreNotWritten(t *testing.T) {
 	executor := newRecordingExecutor(t, nil)
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	defer pool.Close()
 	pool.reuseDelay = 0 // connections can be reused at once
 	for _, reused := range []bool{false, true} {
@@ -70,7 +70,7 @@
 		syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
 		syscall.ENETUNREACH, syscall.EPERM, syscall.EAGAIN,
 	} {
-		pool := NewExecutorPool(testSettings(t), 10)
+		pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 		dial, failures := pool.dialContext, 3
 		pool.dialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 			if failures--; failures >= 0 {
@@ -82,7 +82,7 @@
 		assert.Equal(t, balancer.OK, reply.Result, "%v", errno)
 		assert.EqualValues(t, 3, pool.localDialFailures.Load())
 		pool.Close()
-		pool = NewExecutorPool(testSettings(t), 10)
+		pool = NewExecutorPool(testSettings(t), testClasses(t), 10)
 		pool.dialContext = func(_ context.Context, network, _ string) (net.Conn, error) {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("socket", errno)}
 		}
@@ -96,7 +96,7 @@
 // cancelled; further ones get a new connection at once.
 func TestQueueForAReusableConnectionIsBounded(t *testing.T) {
 	executor := newRecordingExecutor(t, nil)
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	defer pool.Close()
 	endpoint := endpointAt(executor.addr())
 	require.Equal(t, balancer.OK, pool.Send(t.Context(), attemptTo(endpoint, "x")).Result)
@@ -122,7 +122,7 @@
 // A connection is reused once its reuse delay has elapsed.
 func TestConnectionsAreReusedAfterTheDelay(t *testing.T) {
 	executor := newRecordingExecutor(t, nil)
-	pool := NewExecutorPool(testSettings(t), 10)
+	pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 	defer pool.Close()
 	for range 5 {
 		pool.reuseDelay = 0 // as if the delay had elapsed
--- a/internal/platform/golden_test.go
+++ b/internal/platform/golden_test.go
@@ -263,7 +263,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			executor, requests := newRawRecorder(t, plainOK)
-			pool := NewExecutorPool(testSettings(t), 10)
+			pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 			defer pool.Close()
 			order := oakthread.LoadOrder{Worker: endpointAt(executor.addr()), Key: "7F3a9c21e0b4d655", Count: 2}
 			do(t.Context(), pool, order)
@@ -330,7 +330,7 @@
 				length += "\r\n" + c.headers
 			}
 			executor, _ := newRawRecorder(t, "HTTP/1.1 "+c.status+"\r\n"+length+"\r\n\r\n"+c.body)
-			pool := NewExecutorPool(testSettings(t), 10)
+			pool := NewExecutorPool(testSettings(t), testClasses(t), 10)
 			defer pool.Close()
 			endpoint, got := endpointAt(executor.addr()), reply{}
 			switch c.by {
--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -10,6 +10,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/internal/wire"
 )
 
@@ -53,3 +54,9 @@
 	cancel()
 	return ctx
 }
+
+// testClasses returns the source of the classes of testSettings.
+func testClasses(t testing.TB) *classes.Source {
+	t.Helper()
+	return classes.NewSource(classes.New(testSettings(t).ClassDefinitions()))
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -111,11 +111,11 @@
 
 // parseClass parses the class and the tenant of a request. Without a customer, the tenant is -1.
 func (s *Server) parseClass(request *oakthread.Request, header http.Header) error {
-	class, ok := (*s.classNumbers.Load())[header.Get(classHeader)]
+	class, ok := s.classes.Table().Lookup(header.Get(classHeader))
 	if !ok {
 		return fmt.Errorf("X-Class %q: not in the settings", header.Get(classHeader))
 	}
-	request.Class, request.Tenant = class, -1
+	request.Class, request.Tenant = class.Number, -1
 	if customer := header.Get(customerHeader); customer != "" {
 		if request.Tenant, ok = s.tenantNumbers[customer]; !ok {
 			return fmt.Errorf("X-Customer %q: not in the settings", customer)
--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -14,7 +14,7 @@
 // TestParseHeader checks that the headers of a request are parsed, and that malformed, repeated and
 // out-of-range values are errors.
 func TestParseHeader(t *testing.T) {
-	server := NewServer(nil, testSettings(t))
+	server := NewServer(nil, testSettings(t), testClasses(t))
 	for name, c := range map[string]struct {
 		header, value string // replaces a valid header
 		invalid       bool
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oakthread"
+	"oakthread/classes"
 	"oakthread/internal/httpreply"
 	"oakthread/internal/monotime"
 	"oakthread/internal/violation"
@@ -32,7 +33,7 @@
 
 	core               *oakthread.Core
 	mux                *http.ServeMux
-	classNumbers       atomic.Pointer[map[string]int] // by name, for new requests
+	classes            *classes.Source
 	tenantNumbers      map[string]int
 	sendsRetryAfter    bool         // rejections also carry the delay in milliseconds
 	inFlight           atomic.Int64 // requests in the handler
@@ -45,17 +46,12 @@
 	limiter            atomic.Pointer[connLimiter]
 }
 
-// NewServer returns a server for the requests of core.
-func NewServer(core *oakthread.Core, settings *wire.Settings) *Server {
+// NewServer returns a server for the requests of core, of the classes of source.
+func NewServer(core *oakthread.Core, settings *wire.Settings, source *classes.Source) *Server {
 	s := &Server{
-		core: core, tenantNumbers: map[string]int{}, sendsRetryAfter: settings.Permissions.RetryAfter,
+		core: core, classes: source, tenantNumbers: map[string]int{}, sendsRetryAfter: settings.Permissions.RetryAfter,
 		mux: http.NewServeMux(),
 	}
-	classNumbers := map[string]int{}
-	for i, class := range settings.Categories {
-		classNumbers[class.Name] = i
-	}
-	s.classNumbers.Store(&classNumbers)
 	for i, customer := range settings.Customers {
 		s.tenantNumbers[customer.Name] = i
 	}
@@ -64,10 +60,6 @@
 	return s
 }
 
-// SetClasses sets the class numbers by name for new requests. Requests in flight keep their
-// numbers. The map must not be changed afterwards.
-func (s *Server) SetClasses(numbers map[string]int) { s.classNumbers.Store(&numbers) }
-
 // Pending returns the number of calls that are being read or have not been answered yet.
 func (s *Server) Pending() int64 { return s.inFlight.Load() }
 
--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -44,7 +44,7 @@
 	backend := httptest.NewServer(executor)
 	t.Cleanup(backend.Close)
 	core, err := oakthread.New(oakthread.Config{
-		Settings: testSettings(t).BalancerSettings(), Workers: NewExecutorPool(testSettings(t), 50),
+		Settings: testSettings(t).BalancerSettings(), Workers: NewExecutorPool(testSettings(t), testClasses(t), 50),
 	})
 	require.NoError(t, err)
 	t.Cleanup(core.Close)
@@ -52,7 +52,7 @@
 	require.NoError(t, err)
 	ctx, shutdown := context.WithCancel(t.Context())
 	s := &runningServer{
-		server: NewServer(core, testSettings(t)), url: "http://" + ln.Addr().String(),
+		server: NewServer(core, testSettings(t), testClasses(t)), url: "http://" + ln.Addr().String(),
 		shutdown: shutdown, done: make(chan error, 1),
 	}
 	log := slog.New(slog.NewTextHandler(lines, nil))
--- a/internal/platform/testbed_test.go
+++ b/internal/platform/testbed_test.go
@@ -20,6 +20,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/internal/wire"
 )
 
@@ -109,7 +110,8 @@
 		heldDial: make(chan net.Conn, 1), releaseDial: make(chan struct{}), logLines: make(logLineWriter, 64),
 		done: make(chan error, 1),
 	}
-	s.pool = NewExecutorPool(settings, 50)
+	source := classes.NewSource(classes.New(settings.ClassDefinitions()))
+	s.pool = NewExecutorPool(settings, source, 50)
 	s.pool.dialContext = s.holdDials(s.pool.dialContext)
 	var err error
 	s.core, err = oakthread.New(oakthread.Config{
@@ -118,7 +120,7 @@
 	})
 	require.NoError(t, err)
 	t.Cleanup(s.core.Close)
-	s.server = NewServer(s.core, settings)
+	s.server = NewServer(s.core, settings, source)
 	s.serve(options)
 	s.updateEndpoints(balancer.EndpointsSnapshot, func(int, *oakthread.Endpoint) {})
 	return s
--- a/internal/wire/balancersettings.go
+++ b/internal/wire/balancersettings.go
@@ -1,6 +1,9 @@
 package wire
 
-import "oakthread/balancer"
+import (
+	"oakthread/balancer"
+	"oakthread/classes"
+)
 
 // The kinds of idempotency and the scopes of idempotency keys by their names on the wire.
 var (
@@ -32,6 +35,15 @@
 	return settings
 }
 
+// ClassDefinitions returns the names and the rules of the classes, in the order of the settings.
+func (s *Settings) ClassDefinitions() []classes.Definition {
+	var definitions []classes.Definition
+	for i, rules := range s.BalancerSettings().Classes {
+		definitions = append(definitions, classes.Definition{Name: s.Categories[i].Name, Rules: rules})
+	}
+	return definitions
+}
+
 // addPermissions converts the permissions of the dispatcher.
 func (s *Settings) addPermissions(settings *balancer.Settings) {
 	permissions := &s.Permissions
