Webhooks take the classes in force, so a reload binds their calls too

Cause: webhook.Receiver and webhook.Notifier kept the classes of the start, by index. A reload gives a changed class a new number, so the receiver went on naming the old number, and the notifier looked the new one up in a list that was too short.

Change: both are handed classes.Source. A message takes the class in force when it comes, and its execution keeps it; whether a redelivery may run again goes by the class in force then. Without a state file a class that a reload made non-idempotent is turned away (400): nothing that outlasts the process could keep it from running twice.

--- a/classes/table.go
+++ b/classes/table.go
@@ -6,6 +6,7 @@
 package classes
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -76,6 +77,15 @@
 	return t.byNumber[number], true
 }
 
+// InForce returns the classes in force, by ascending number.
+func (t *Table) InForce() []Class {
+	inForce := make([]Class, 0, len(t.byName))
+	for _, number := range slices.Sorted(maps.Values(t.byName)) {
+		inForce = append(inForce, t.byNumber[number])
+	}
+	return inForce
+}
+
 // Numbered returns the class with a number, which may have been replaced or dropped since. ok is
 // false if the number is not in use.
 func (t *Table) Numbered(number int) (class Class, ok bool) {
--- a/internal/daemon/webhooks.go
+++ b/internal/daemon/webhooks.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"oakthread/internal/platform"
 	"oakthread/webhook"
@@ -17,7 +16,7 @@
 		d.webhooksEnded <- nil
 		return nil
 	}
-	front, err := webhook.Open(options, d.core, webhookClasses(d.cfg), tenantNames(d.cfg), nil, d.log)
+	front, err := webhook.Open(options, d.core, d.classes, tenantNames(d.cfg), nil, d.log)
 	if err != nil {
 		return err
 	}
@@ -36,19 +35,6 @@
 	return nil
 }
 
-// webhookClasses returns the classes of the configuration in the form of the webhook server.
-func webhookClasses(cfg *platform.Config) []webhook.Class {
-	var classes []webhook.Class
-	for i, class := range cfg.Settings.BalancerSettings().Classes {
-		classes = append(classes, webhook.Class{
-			Name:        cfg.Settings.Categories[i].Name,
-			Timeout:     time.Duration(class.ClientTimeout),
-			Idempotency: class.Idempotency,
-		})
-	}
-	return classes
-}
-
 // tenantNames returns the names of the tenants, by index.
 func tenantNames(cfg *platform.Config) []string {
 	var names []string
--- a/webhook/decode.go
+++ b/webhook/decode.go
@@ -13,6 +13,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 )
 
 // functionDigits is the length of a function's id in hexadecimal digits.
@@ -32,43 +33,54 @@
 	LoadMS      float64 `json:"load_ms"`
 }
 
-// decode converts a verified message to a request to the core. The text of an error is sent to the
-// sender in the response.
-func (rc *Receiver) decode(msg verifiedMessage) (request oakthread.Request, err error) {
+// decode converts a verified message to a request to the core, of the class that is in force under
+// its name. The text of an error is sent to the sender in the response.
+func (rc *Receiver) decode(msg verifiedMessage) (request oakthread.Request, class classes.Class, err error) {
 	var envelope struct {
 		Type string   `json:"type"`
 		Data callData `json:"data"`
 	}
 	if err := json.Unmarshal(msg.body, &envelope); err != nil {
-		return request, fmt.Errorf("message cannot be read: %w", err)
+		return request, class, fmt.Errorf("message cannot be read: %w", err)
 	}
-	name, ok := strings.CutSuffix(envelope.Type, ".requested")
-	class, known := rc.classIndex[name]
-	if !ok || !known {
-		return request, fmt.Errorf("type %q: want a class and .requested", envelope.Type)
+	if class, err = rc.classOf(envelope.Type); err != nil {
+		return request, class, err
 	}
 	data := envelope.Data
 	function, err := data.validate()
 	if err != nil {
-		return request, err
+		return request, class, err
 	}
 	id, err := newCallID()
 	if err != nil {
-		return request, err
+		return request, class, err
 	}
 	return oakthread.Request{
 		ID:          id,
-		Class:       class,
+		Class:       class.Number,
 		Tenant:      rc.tenantOf(msg.operator),
 		Func:        function,
 		Key:         data.Function,
 		Body:        data.Body,
-		Deadline:    time.Now().Add(data.timeout(rc.classes[class].Timeout)),
+		Deadline:    time.Now().Add(data.timeout(time.Duration(class.Rules.ClientTimeout))),
 		MemoryMB:    data.MemoryMB,
 		Concurrency: data.Concurrency,
 		LoadTime:    milliseconds(data.LoadMS),
 		Ref:         msg.id,
-	}, nil
+	}, class, nil
+}
+
+// classOf returns the class in force that the type of a message names.
+func (rc *Receiver) classOf(messageType string) (classes.Class, error) {
+	name, isRequest := strings.CutSuffix(messageType, ".requested")
+	class, known := rc.classes.Table().Lookup(name)
+	if !isRequest || !known || !rc.isAllowed(name) {
+		return class, fmt.Errorf("type %q: want a class and .requested", messageType)
+	}
+	if !rc.mayRun(class) {
+		return class, fmt.Errorf("type %q: the class must not run twice, and there is no state file", messageType)
+	}
+	return class, nil
 }
 
 // validate checks the fields of a call and returns its function ID.
--- a/webhook/execution.go
+++ b/webhook/execution.go
@@ -11,6 +11,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/internal/monotime"
 	"oakthread/internal/neterr"
 )
@@ -31,6 +32,7 @@
 	key      string // of the message
 	msg      verifiedMessage
 	request  oakthread.Request
+	class    classes.Class // in force when the message came
 	bodyHash []byte
 
 	done   chan struct{}
@@ -119,12 +121,15 @@
 // returns the recorded outcome, in which case fromReceipt is true. The error is errReplayed,
 // errBodyMismatch or errStoreFull if the delivery is rejected; any other is a failure of the state
 // file.
-func (rc *Receiver) admit(msg verifiedMessage, request oakthread.Request) (_ *execution, fromReceipt bool, err error) {
+func (rc *Receiver) admit(
+	msg verifiedMessage, request oakthread.Request, class classes.Class,
+) (_ *execution, fromReceipt bool, err error) {
 	hash := sha256.Sum256(msg.body)
 	exec := &execution{
 		key:      string(receiptKey(msg.operator.Name, msg.id)),
 		msg:      msg,
 		request:  request,
+		class:    class,
 		bodyHash: hash[:],
 		done:     make(chan struct{}),
 	}
@@ -154,18 +159,18 @@
 // acquireReceipt writes the receipt of a delivery to the state file and reports whether its call is
 // to be executed.
 func (rc *Receiver) acquireReceipt(exec *execution) (r receipt, start bool, err error) {
-	class := rc.classes[exec.request.Class]
 	fresh := receipt{
 		BodyHash:  exec.bodyHash,
 		CallID:    exec.request.ID,
-		Class:     class.Name,
+		Class:     exec.class.Name,
 		Function:  exec.request.Key,
 		ExpiresAt: monotime.Now().Add(rc.retention),
 	}
 	// A rejected call had no effect, so the message may be executed when it is delivered again; so
 	// may a failed call that is idempotent. Any other outcome is final.
+	isIdempotent := exec.class.Rules.Idempotency == balancer.Idempotent
 	repeatable := func(r receipt) bool {
-		return r.Status == statusRejected || class.Idempotency == balancer.Idempotent && r.Status != statusServed
+		return r.Status == statusRejected || isIdempotent && r.Status != statusServed
 	}
 	msg := exec.msg
 	unstarted := rc.executing.unstartedCalls(exec.key)
@@ -199,7 +204,7 @@
 	n := rc.notifier.newNotification(exec.msg.operator.Name, completionData{
 		CallID:    exec.request.ID,
 		MessageID: exec.msg.id,
-		Class:     rc.classes[exec.request.Class].Name,
+		Class:     exec.class.Name,
 		Function:  exec.request.Key,
 		Outcome:   outcomeText(answer.Outcome),
 		Reason:    outcomeReason(answer.Outcome, false),
--- a/webhook/front.go
+++ b/webhook/front.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/netutil"
 
 	"oakthread"
+	"oakthread/classes"
 	"oakthread/internal/neterr"
 	"oakthread/spiffe"
 )
@@ -51,10 +52,11 @@
 
 // Open returns a Front that uses the state file named in options. identities supplies the SVID and
 // trust bundles for mTLS; if it is nil they are read from the files named in options, and without
-// such files the front serves without TLS. It returns an error if options do not fit classes and
-// tenants, or if the keys, the SVID files or the state file cannot be read.
+// such files the front serves without TLS. The core must have every class that source hands out. It
+// returns an error if options do not fit the classes in force and tenants, or if the keys, the SVID
+// files or the state file cannot be read.
 func Open(
-	options *Options, core Doer, classes []Class, tenants []string, identities spiffe.Source, log *slog.Logger,
+	options *Options, core Doer, source *classes.Source, tenants []string, identities spiffe.Source, log *slog.Logger,
 ) (*Front, error) {
 	f := &Front{options: options, identities: identities, log: log}
 	if err := f.openIdentities(); err != nil {
@@ -66,12 +68,12 @@
 	var err error
 	f.notifier, err = newNotifier(notifierConfig{
 		options: options, keys: f.keys, store: f.store,
-		classes: classes, tenants: tenants, transport: f.transport, log: log,
+		classes: source, tenants: tenants, transport: f.transport, log: log,
 	})
 	if err == nil {
 		f.Receiver, err = newReceiver(receiverConfig{
 			options: options, core: core, keys: f.keys, store: f.store, notifier: f.notifier,
-			classes: classes, tenants: tenants, log: log,
+			classes: source, tenants: tenants, log: log,
 		})
 	}
 	if err != nil {
--- a/webhook/front_test.go
+++ b/webhook/front_test.go
@@ -100,7 +100,7 @@
 	options.SPIFFE.Bundle = ca.path("ca.pem")
 	require.NoError(t, options.applyDefaults())
 	core := newFakeCore()
-	front, err := Open(options, core, classes, tenants, nil, discardLog)
+	front, err := Open(options, core, classSource(), tenants, nil, discardLog)
 	require.NoError(t, err)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/webhook/handler.go
+++ b/webhook/handler.go
@@ -32,13 +32,13 @@
 	if !ok {
 		return
 	}
-	request, err := rc.decode(msg)
+	request, class, err := rc.decode(msg)
 	if err != nil {
 		rc.counters.malformed.Add(1)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	exec, fromReceipt, err := rc.admit(msg, request)
+	exec, fromReceipt, err := rc.admit(msg, request, class)
 	if err != nil {
 		rc.writeRejection(w, err)
 		return
--- a/webhook/helpers_test.go
+++ b/webhook/helpers_test.go
@@ -22,15 +22,17 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 )
 
 const testFunction = "7f3a9c21e0b4d655"
 
 var (
 	discardLog = slog.New(slog.DiscardHandler)
-	classes    = []Class{
-		{"path-check", time.Second, balancer.Idempotent},
-		{"path-book", time.Second, balancer.NotIdempotent},
+	// definitions are those of the classes in force, unless a test replaces them.
+	definitions = []classes.Definition{
+		{Name: "path-check", Rules: classRules(balancer.Idempotent)},
+		{Name: "path-book", Rules: classRules(balancer.NotIdempotent)},
 	}
 	tenants = []string{"ironbridge-haul", "soar-freight"}
 )
@@ -40,6 +42,14 @@
 	return "whsec_" + base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{n}, 24))
 }
 
+// classRules returns the rules of a class whose calls get a second.
+func classRules(idempotency balancer.Idempotency) balancer.Class {
+	return balancer.Class{ClientTimeout: int64(time.Second), Idempotency: idempotency}
+}
+
+// classSource returns a source of definitions.
+func classSource() *classes.Source { return classes.NewSource(classes.New(definitions)) }
+
 // fakeCore is a Doer that counts executions and takes its answers from a function.
 type fakeCore struct {
 	mu     sync.Mutex
@@ -68,6 +78,7 @@
 	dir      string
 	options  *Options
 	core     *fakeCore
+	classes  *classes.Source
 	keys     *KeySet
 	store    *Store
 	disk     *failingDisk
@@ -79,7 +90,7 @@
 // newTestFront starts a front with two operators. Notifications to the first are sent to notifyURL.
 func newTestFront(t *testing.T, notifyURL string) *testFront {
 	t.Helper()
-	d := &testFront{t: t, dir: t.TempDir(), core: newFakeCore()}
+	d := &testFront{t: t, dir: t.TempDir(), core: newFakeCore(), classes: classSource()}
 	d.writeKeys("ironbridge", secret(1))
 	d.writeKeys("soar", secret(2))
 	keysFile := func(operator string) string { return filepath.Join(d.dir, operator) }
@@ -117,12 +128,12 @@
 	d.disk = &failingDisk{DB: d.store.db.(*bbolt.DB)}
 	d.store.db = d.disk
 	d.notifier, err = newNotifier(notifierConfig{
-		options: d.options, keys: d.keys, store: d.store, classes: classes, tenants: tenants, log: discardLog,
+		options: d.options, keys: d.keys, store: d.store, classes: d.classes, tenants: tenants, log: discardLog,
 	})
 	require.NoError(d.t, err)
 	d.receiver, err = newReceiver(receiverConfig{
 		options: d.options, core: d.core, keys: d.keys, store: d.store, notifier: d.notifier,
-		classes: classes, tenants: tenants, log: discardLog,
+		classes: d.classes, tenants: tenants, log: discardLog,
 	})
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/webhook/notifier.go
+++ b/webhook/notifier.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oakthread"
+	"oakthread/classes"
 	"oakthread/internal/monotime"
 	"oakthread/internal/neterr"
 )
@@ -62,7 +63,7 @@
 	keys             *KeySet
 	store            *Store
 	clients          map[string]*http.Client // by operator
-	classes          []Class
+	classes          *classes.Source
 	notifiedClasses  map[string]bool
 	operatorByTenant map[int]string
 	log              *slog.Logger
@@ -78,7 +79,7 @@
 	options   *Options
 	keys      *KeySet
 	store     *Store
-	classes   []Class
+	classes   *classes.Source
 	tenants   []string
 	transport func(Operator) http.RoundTripper // to an operator's endpoint; nil: http.DefaultTransport
 	log       *slog.Logger
@@ -162,9 +163,10 @@
 	if !ok || request.Ref != "" {
 		return
 	}
+	class, _ := s.classes.Table().Numbered(request.Class) // the core accepts only numbers that are in use
 	n := s.newNotification(operator, completionData{
 		CallID:   request.ID,
-		Class:    s.classes[request.Class].Name,
+		Class:    class.Name,
 		Function: request.Key,
 		Outcome:  outcomeText(completion.Answer.Outcome),
 		Reason:   outcomeReason(completion.Answer.Outcome, completion.Abandoned),
--- a/webhook/options_test.go
+++ b/webhook/options_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	front, err := Open(options, newFakeCore(), classes, tenants, nil, discardLog)
+	front, err := Open(options, newFakeCore(), classSource(), tenants, nil, discardLog)
 	if err == nil {
 		front.release()
 	}
--- a/webhook/receiver.go
+++ b/webhook/receiver.go
@@ -10,6 +10,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/internal/monotime"
 	"oakthread/internal/neterr"
 )
@@ -26,13 +27,6 @@
 	Do(ctx context.Context, request oakthread.Request) (oakthread.Answer, error)
 }
 
-// Class is a class of calls that messages refer to by name.
-type Class struct {
-	Name        string
-	Timeout     time.Duration        // longest time from decoding a message to the deadline of its call
-	Idempotency balancer.Idempotency // whether a call may run twice
-}
-
 // Receiver executes the calls that signed messages request. It implements http.Handler and is safe
 // for concurrent use.
 //
@@ -44,8 +38,9 @@
 	store       *Store
 	notifier    *Notifier
 	log         *slog.Logger
-	classes     []Class
-	classIndex  map[string]int // classes that webhooks may request, by name
+	classes     *classes.Source
+	allowed     []string // names of the classes that webhooks may request; empty: all
+	isStateless bool     // receipts do not outlast the process
 	tenantIndex map[string]int
 	retention   time.Duration // of a receipt
 	bodyTimeout time.Duration
@@ -68,7 +63,7 @@
 	keys     *KeySet
 	store    *Store
 	notifier *Notifier
-	classes  []Class
+	classes  *classes.Source
 	tenants  []string
 	log      *slog.Logger
 }
@@ -84,6 +79,8 @@
 		notifier:    cfg.notifier,
 		log:         cfg.log,
 		classes:     cfg.classes,
+		allowed:     cfg.options.Classes,
+		isStateless: cfg.options.State == "",
 		tenantIndex: map[string]int{},
 		retention:   cfg.options.ReceiptRetention.Duration,
 		bodyTimeout: bodyReadTimeout,
@@ -94,8 +91,7 @@
 	for i, tenant := range cfg.tenants {
 		rc.tenantIndex[tenant] = i
 	}
-	var err error
-	if rc.classIndex, err = indexClasses(cfg.classes, cfg.options); err != nil {
+	if err := rc.checkClasses(cfg.classes.Table()); err != nil {
 		return nil, err
 	}
 	for _, operator := range cfg.options.Operators {
@@ -110,25 +106,31 @@
 	return rc, nil
 }
 
-// indexClasses maps the names of the classes that webhooks may request to their indexes.
-func indexClasses(classes []Class, options *Options) (map[string]int, error) {
-	index := map[string]int{}
-	for i, class := range classes {
-		if len(options.Classes) == 0 || slices.Contains(options.Classes, class.Name) {
-			index[class.Name] = i
+// checkClasses returns an error if a class that the options name is not in the table, or if one that
+// webhooks may request must not run twice and there is no state file.
+func (rc *Receiver) checkClasses(table *classes.Table) error {
+	for _, name := range rc.allowed {
+		if _, ok := table.Lookup(name); !ok {
+			return fmt.Errorf("webhooks: class %q is not in the settings", name)
 		}
 	}
-	for _, name := range options.Classes {
-		if _, ok := index[name]; !ok {
-			return nil, fmt.Errorf("webhooks: class %q is not in the settings", name)
+	for _, class := range table.InForce() {
+		if rc.isAllowed(class.Name) && !rc.mayRun(class) {
+			return fmt.Errorf("webhooks: class %q must not run twice, so a state file is needed", class.Name)
 		}
 	}
-	for name, i := range index {
-		if options.State == "" && classes[i].Idempotency != balancer.Idempotent {
-			return nil, fmt.Errorf("webhooks: class %q must not run twice, so a state file is needed", name)
-		}
-	}
-	return index, nil
+	return nil
+}
+
+// isAllowed reports whether webhooks may request the class with a name.
+func (rc *Receiver) isAllowed(name string) bool {
+	return len(rc.allowed) == 0 || slices.Contains(rc.allowed, name)
+}
+
+// mayRun reports whether a restart cannot make a call of the class run twice: its receipts outlast
+// the process, or it is idempotent.
+func (rc *Receiver) mayRun(class classes.Class) bool {
+	return !rc.isStateless || class.Rules.Idempotency == balancer.Idempotent
 }
 
 // failInterrupted records the executions that an earlier process left running as failed, and queues
