The drain's time comes from the classes in force at the shutdown, at every front

Cause: the time of both drains was computed at the start, from the classes of the start. The platform's server waits for the latest deadline of its requests besides; HTTP/2 closed its connections when the old time was over. Where a reload shortened the deadlines, the platform's server also put the earliest SIGKILL too late, so a late request could have been given time that it does not have.

Change: the server computes its terms from the classes in force when the drain begins. HTTP/2 asks it, once GOAWAY is sent, for Server.DrainDeadline, which covers the requests of all fronts.

Tests of internal/h2, internal/platform and internal/daemon pass under the race detector.

--- a/classes/table.go
+++ b/classes/table.go
@@ -95,11 +95,10 @@
 	return t.byNumber[number], true
 }
 
-// LongestTimeout returns the longest client timeout of all classes that a request in flight may
-// have, including replaced and dropped ones.
+// LongestTimeout returns the longest client timeout of the classes in force.
 func (t *Table) LongestTimeout() time.Duration {
 	var longest time.Duration
-	for _, class := range t.byNumber {
+	for _, class := range t.InForce() {
 		longest = max(longest, time.Duration(class.Rules.ClientTimeout))
 	}
 	return longest
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,7 +122,7 @@
 // HTTP/2 and webhook servers.
 func (d *daemon) serve(ctx context.Context, listener net.Listener) error {
 	d.log.Info("serving", "listen", d.cfg.Listen, "executors_after", d.cfg.Cursor)
-	err := d.server.Serve(ctx, listener, d.sockets.clients, linger, d.drainTimeout(), d.log)
+	err := d.server.Serve(ctx, listener, d.sockets.clients, linger, d.log)
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
@@ -134,16 +134,6 @@
 	return errors.Join(err, <-d.webhooksEnded)
 }
 
-// drainTimeout returns how long after the beginning of the shutdown accepted requests may still be
-// answered: the longest client timeout of a class, counted from the last accepted request.
-func (d *daemon) drainTimeout() time.Duration {
-	var longest time.Duration
-	for _, class := range d.settings.Classes {
-		longest = max(longest, time.Duration(class.ClientTimeout))
-	}
-	return longest + linger
-}
-
 // close closes what has been built and started so far, in reverse order. It waits for the endpoint
 // cache, which writes its final state to disk. The other background goroutines end with their
 // context and are not waited for.
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"oakthread/endpoints"
 	"oakthread/internal/h2"
@@ -98,7 +99,7 @@
 	}
 	d.log.Info("http2: serving", "listen", options.Listen)
 	go func() {
-		drain := h2.Drain{Linger: linger, Timeout: d.drainTimeout()}
+		drain := h2.Drain{Linger: linger, Deadline: func() time.Time { return d.server.DrainDeadline(linger) }}
 		d.http2Ended <- h2.Serve(ctx, listener, d.server, *options, drain, d.log)
 	}()
 	return nil
--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -57,12 +57,13 @@
 
 // Drain bounds the graceful shutdown of a server.
 type Drain struct {
-	Linger  time.Duration // new streams are accepted for this long after the shutdown began
-	Timeout time.Duration // time to answer the streams in flight after GOAWAY
+	Linger time.Duration // new streams are accepted for this long after the shutdown began
+	// Deadline returns, once GOAWAY is sent, until when the streams in flight are answered.
+	Deadline func() time.Time
 }
 
 // Serve serves ln until ctx ends. It then drains: it accepts streams for drain.Linger, sends
-// GOAWAY, answers the accepted streams within drain.Timeout, and returns nil. It returns the error
+// GOAWAY, answers the accepted streams until drain.Deadline, and returns nil. It returns the error
 // of the listener if that fails first.
 func Serve(
 	ctx context.Context, ln net.Listener, handler http.Handler, options Options, drain Drain, log *slog.Logger,
@@ -80,7 +81,7 @@
 		}
 	}
 	log.Info("http2 drain started")
-	drainCtx, cancel := context.WithTimeout(context.Background(), drain.Timeout)
+	drainCtx, cancel := context.WithDeadline(context.Background(), drain.Deadline())
 	defer cancel()
 	err := server.Shutdown(drainCtx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/platform/drainterms.go
+++ b/internal/platform/drainterms.go
@@ -21,11 +21,11 @@
 }
 
 // newDrainTerms returns the times of a drain that begins now and accepts requests for linger.
-// longest is the longest deadline of the deployment plus linger.
+// longest is the longest client timeout of a class.
 func newDrainTerms(now time.Time, linger, longest time.Duration) *drainTerms {
 	return &drainTerms{
 		acceptUntil:  now.Add(linger),
-		earliestKill: now.Add(min(longest-linger, maxKillDeadline) + linger),
+		earliestKill: now.Add(min(longest, maxKillDeadline) + linger),
 	}
 }
 
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -29,10 +29,10 @@
 
 // Serve serves ln, with at most conns connections, until ctx ends. It then drains: it still accepts
 // requests for linger, since clients learn of the shutdown with a delay, answers all requests that
-// it has read, and returns nil. After linger, requests in flight get at least the time longest. It
-// returns context.DeadlineExceeded if some are left without a response.
+// it has read, and returns nil. After linger, requests in flight get until DrainDeadline. It returns
+// context.DeadlineExceeded if some are left without a response.
 func (s *Server) Serve(
-	ctx context.Context, ln net.Listener, conns int, linger, longest time.Duration, log *slog.Logger,
+	ctx context.Context, ln net.Listener, conns int, linger time.Duration, log *slog.Logger,
 ) error {
 	limiter := newConnLimiter(ln, conns, log)
 	httpServer := s.newHTTPServer(limiter, log)
@@ -44,7 +44,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	s.drainTerms.Store(newDrainTerms(time.Now(), linger, longest))
+	s.drainTerms.Store(newDrainTerms(time.Now(), linger, s.classes.Table().LongestTimeout()))
 	s.draining.Store(true)
 	if mutant.On(mutant.AbruptShutdown) {
 		linger = 0
@@ -57,7 +57,7 @@
 	case <-time.After(linger):
 	}
 	log.Info("drain stopped accepting", "in_flight", s.inFlight.Load())
-	drainCtx, cancel := context.WithDeadline(context.Background(), s.drainDeadline(linger, longest))
+	drainCtx, cancel := context.WithDeadline(context.Background(), s.DrainDeadline(linger))
 	defer cancel()
 	defer func() { _ = httpServer.Close() }()
 	return s.drain(drainCtx, limiter, served)
@@ -78,10 +78,11 @@
 	}
 }
 
-// drainDeadline returns when a drain gives up: linger after the latest deadline of all requests,
-// but not before the time longest has passed.
-func (s *Server) drainDeadline(linger, longest time.Duration) time.Time {
-	deadline := time.Now().Add(longest)
+// DrainDeadline returns when a drain that stops accepting requests now gives up on those in flight:
+// linger after the latest deadline of all requests that the server has handled, at any front, but
+// not before the longest client timeout of a class and linger have passed.
+func (s *Server) DrainDeadline(linger time.Duration) time.Time {
+	deadline := time.Now().Add(s.classes.Table().LongestTimeout() + linger)
 	if latest := monotime.Time(s.latestDeadline.Load()).Add(linger); latest.After(deadline) {
 		return latest
 	}
