The endpoint cache and the core's checks know the classes that a reload added

Need: found while looking for further copies of the classes of the start. The endpoint cache did not notice late answers of a class that a reload had added or changed, so a worker that answers late counted as verified; the core did not report a second run of a request of such a class, so the soak and the testbed could not see it either.

Change: endpointcache.Options takes the source of the classes; the core keeps the classes that AddClasses adds.

Result: TestLateAnswersOfReloadedClassesAreNoticed and TestRulesOfAddedClassAreChecked are new; neither compiles on the code before, in which both numbers lie beyond the list of the start.

--- a/api.go
+++ b/api.go
@@ -29,6 +29,7 @@
 	answer := query(c, func() *added {
 		first, err := c.state.balancer.AddClasses(c.now(), classes)
 		if err == nil {
+			c.state.classes = append(c.state.classes, classes...)
 			c.classCount.Store(int64(first + len(classes)))
 		}
 		return &added{first, err}
--- a/attempt.go
+++ b/attempt.go
@@ -153,7 +153,7 @@
 // is the second such attempt of a non-idempotent request.
 func (c *Core) countExecution(request *pendingRequest) {
 	request.executions++
-	if request.executions > 1 && c.cfg.isNonIdempotent(request.Class) {
+	if request.executions > 1 && c.isNonIdempotent(request) {
 		c.reportViolation(violation.RuleAtMostOnce, violation.PathAttemptEnd, request.ID,
 			"a second attempt of a non-idempotent request may have run")
 	}
--- a/config.go
+++ b/config.go
@@ -62,10 +62,3 @@
 	}
 	return c, nil
 }
-
-// isNonIdempotent reports whether requests of the class must not run twice. Classes added by
-// AddClasses are not part of the configuration and count as idempotent.
-func (c Config) isNonIdempotent(class int) bool {
-	classes := c.Settings.Classes
-	return class < len(classes) && classes[class].Idempotency == balancer.NotIdempotent
-}
--- a/core.go
+++ b/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -39,8 +40,9 @@
 // loopState is the state that only the event loop reads and writes.
 type loopState struct {
 	balancer  *balancer.Balancer
-	lastEvent int64    // time of the latest event, in nanoseconds of the process clock
-	deferred  []func() // to be run after the current event
+	classes   []balancer.Class // of the configuration, then those of AddClasses
+	lastEvent int64            // time of the latest event, in nanoseconds of the process clock
+	deferred  []func()         // to be run after the current event
 	requests  map[string]*pendingRequest
 	attempts  map[attemptKey]*inFlightAttempt
 	loads     map[*inFlightLoad]struct{}
@@ -63,6 +65,7 @@
 		stopped:     make(chan struct{}),
 		loadLimiter: newLoadOrderLimiter(cfg.Settings),
 		state: loopState{
+			classes:   slices.Clone(cfg.Settings.Classes),
 			requests:  map[string]*pendingRequest{},
 			attempts:  map[attemptKey]*inFlightAttempt{},
 			loads:     map[*inFlightLoad]struct{}{},
--- a/core_test.go
+++ b/core_test.go
@@ -136,3 +136,17 @@
 	assert.Equal(t, int64(1), counters.RejectedByAdmission)
 	assert.Equal(t, int64(1), counters.Rejected)
 }
+
+// Guards against a second run of a non-idempotent request that goes unreported because a reload
+// added its class.
+func TestRulesOfAddedClassAreChecked(t *testing.T) {
+	core := newTestCore(t, newFakeWorkers(), nil)
+	first, err := core.AddClasses([]balancer.Class{testClass(balancer.Idempotent), testClass(balancer.NotIdempotent)})
+	require.NoError(t, err)
+	checked := query(core, func() []bool {
+		idempotent := &pendingRequest{Request: Request{Class: first}}
+		nonIdempotent := &pendingRequest{Request: Request{Class: first + 1}}
+		return []bool{core.isNonIdempotent(idempotent), core.isNonIdempotent(nonIdempotent)}
+	})
+	assert.Equal(t, []bool{false, true}, checked)
+}
--- a/internal/daemon/endpointcache.go
+++ b/internal/daemon/endpointcache.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"time"
-
 	"oakthread"
 	"oakthread/endpoints"
 	"oakthread/internal/endpointcache"
@@ -21,6 +19,7 @@
 	options := endpointcache.Options{
 		Path:             list.Path,
 		Owner:            d.cfg.Name,
+		Classes:          d.classes,
 		UtilizationField: d.cfg.Settings.ReportField("cpu"),
 		List: endpoints.Config{
 			Seed:                d.cfg.Seed,
@@ -31,9 +30,6 @@
 			TrustCached:         d.options.TrustCachedList,
 		},
 	}
-	for _, class := range settings.Classes {
-		options.LatencyObjectives = append(options.LatencyObjectives, time.Duration(class.LatencyObjective))
-	}
 	now := monotime.Now()
 	cache := endpointcache.NewSyncer(options, d.workers, d.adminAPI.UpdateEndpoints, now, d.log)
 	var known []oakthread.EndpointUpdate
--- a/internal/endpointcache/syncer.go
+++ b/internal/endpointcache/syncer.go
@@ -8,6 +8,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/endpoints"
 	"oakthread/internal/monotime"
 )
@@ -19,11 +20,13 @@
 
 // Options are the settings of the cached list, the [list] section of the operator's file.
 type Options struct {
-	Path              string // of the list's file; "": the list is not saved
-	Owner             string // name of the dispatcher
-	List              endpoints.Config
-	LatencyObjectives []time.Duration // by class; an answer after more than half of it is late
-	UtilizationField  int             // 1 + index of the CPU utilization in a load report; 0: not reported
+	Path  string // of the list's file; "": the list is not saved
+	Owner string // name of the dispatcher
+	List  endpoints.Config
+	// Classes has the latency objectives: an answer after more than half of its class's is late. nil:
+	// no answer is late.
+	Classes          *classes.Source
+	UtilizationField int // 1 + index of the CPU utilization in a load report; 0: not reported
 }
 
 // Syncer keeps an endpoints.List synchronized with service discovery, attempts and health checks,
@@ -148,8 +151,11 @@
 // isLate reports whether an attempt whose function was already loaded took more than half of its
 // class's latency objective.
 func (s *Syncer) isLate(result oakthread.Observation) bool {
-	return result.Kind == oakthread.ObservedAttempt && result.Class < len(s.options.LatencyObjectives) && result.Warm &&
-		result.Duration > s.options.LatencyObjectives[result.Class]/2
+	if result.Kind != oakthread.ObservedAttempt || !result.Warm || s.options.Classes == nil {
+		return false
+	}
+	class, ok := s.options.Classes.Table().Numbered(result.Class)
+	return ok && result.Duration > time.Duration(class.Rules.LatencyObjective)/2
 }
 
 // apply calls event with the list and wakes Run if actions result.
--- a/internal/endpointcache/syncer_test.go
+++ b/internal/endpointcache/syncer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"path/filepath"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/endpoints"
 )
 
@@ -152,8 +154,35 @@
 	assert.Equal(t, endpoints.ReportedDraining, observation)
 }
 
+// classesWithObjectives returns a source of classes with the given latency objectives.
+func classesWithObjectives(objectives ...time.Duration) *classes.Source {
+	var definitions []classes.Definition
+	for i, objective := range objectives {
+		rules := balancer.Class{LatencyObjective: int64(objective)}
+		definitions = append(definitions, classes.Definition{Name: fmt.Sprint(i), Rules: rules})
+	}
+	return classes.NewSource(classes.New(definitions))
+}
+
+// Guards against late answers that are not noticed because a reload added or changed their class.
+func TestLateAnswersOfReloadedClassesAreNoticed(t *testing.T) {
+	source := classesWithObjectives(time.Second)
+	syncer := NewSyncer(Options{Classes: source}, nil, func(oakthread.EndpointUpdate) {}, time.Now(),
+		slog.New(slog.DiscardHandler))
+	next, _ := source.Table().Next([]classes.Definition{
+		{Name: "0", Rules: balancer.Class{LatencyObjective: int64(time.Minute)}},
+	})
+	source.Replace(next)
+	observation := oakthread.Observation{Result: balancer.OK, Warm: true, Duration: 2 * time.Second}
+	assert.True(t, syncer.isLate(observation), "in flight since before the reload")
+	observation.Class = 1
+	assert.False(t, syncer.isLate(observation), "under its new objective")
+	observation.Duration = 31 * time.Second
+	assert.True(t, syncer.isLate(observation))
+}
+
 func BenchmarkObserve(b *testing.B) {
-	options := Options{LatencyObjectives: []time.Duration{time.Second}}
+	options := Options{Classes: classesWithObjectives(time.Second)}
 	syncer := NewSyncer(options, nil, func(oakthread.EndpointUpdate) {}, time.Now(), slog.New(slog.DiscardHandler))
 	full := oakthread.EndpointUpdate{Kind: balancer.EndpointsSnapshot}
 	for i := range 60 {
--- a/internal/lab/realhost_test.go
+++ b/internal/lab/realhost_test.go
@@ -17,6 +17,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/classes"
 	"oakthread/endpoints"
 	"oakthread/internal/endpointcache"
 )
@@ -57,8 +58,8 @@
 		List: endpoints.Config{
 			Seed: s.seed, Dispatchers: stageNodes, MaxRetryAfter: 1500 * time.Millisecond,
 		},
-		UtilizationField:  2,
-		LatencyObjectives: s.f.latencyObjectives(),
+		UtilizationField: 2,
+		Classes:          s.f.classSource(),
 	}, h, func(r oakthread.EndpointUpdate) { h.core.UpdateEndpoints(r) }, s.now, quiet)
 	var err error
 	h.core, err = oakthread.New(oakthread.Config{
@@ -84,11 +85,15 @@
 	return s
 }
 
-func (f *Figures) latencyObjectives() (out []time.Duration) {
+// classSource returns a source of the classes, of which the endpoint cache needs the latency
+// objectives only.
+func (f *Figures) classSource() *classes.Source {
+	var definitions []classes.Definition
 	for _, class := range f.Classes {
-		out = append(out, class.LatencyObjective)
+		rules := balancer.Class{LatencyObjective: int64(class.LatencyObjective)}
+		definitions = append(definitions, classes.Definition{Name: class.Name, Rules: rules})
 	}
-	return out
+	return classes.NewSource(classes.New(definitions))
 }
 
 // run is the event loop on the bubble's clock: after each event it waits until all goroutines
--- a/request.go
+++ b/request.go
@@ -181,7 +181,7 @@
 func (c *Core) finish(request *pendingRequest, completion Completion) {
 	delete(c.state.requests, request.ID)
 	outcome := completion.Answer.Outcome
-	if outcome == Rejected && request.executions > 0 && c.cfg.isNonIdempotent(request.Class) {
+	if outcome == Rejected && request.executions > 0 && c.isNonIdempotent(request) {
 		c.reportViolation(violation.RuleRejectionHasNoEffect, violation.PathAnswer, request.ID,
 			"rejected after an attempt that may have run")
 	}
@@ -199,6 +199,11 @@
 	}
 }
 
+// isNonIdempotent reports whether a request must not run twice.
+func (c *Core) isNonIdempotent(request *pendingRequest) bool {
+	return c.state.classes[request.Class].Idempotency == balancer.NotIdempotent
+}
+
 // logCompletion logs the end of a request at level debug.
 func (c *Core) logCompletion(request *pendingRequest, completion Completion) {
 	if !c.cfg.Log.Enabled(c.ctx, slog.LevelDebug) {
