The lock between processes is a package of its own

Need: the webhook front needs the lock that the ban file has.

Change: internal/filelock holds what internal/adminapi had, with a lock that can be waited for until a context ends.

--- a/internal/adminapi/banfile.go
+++ b/internal/adminapi/banfile.go
@@ -2,14 +2,17 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"oakthread/balancer"
+	"oakthread/internal/filelock"
 )
 
 // BanFilePath returns the path in dir of the ban file of the dispatcher that listens at listen. The
@@ -28,6 +31,10 @@
 // The ban file itself is replaced at each write, so a lock on it would not last.
 const lockSuffix = ".lock"
 
+// lockTimeout is how long a lock that another process holds is waited for. A holder needs it for one
+// small write.
+const lockTimeout = 100 * time.Millisecond
+
 // banFile is the file that holds the ids of the workers that operators have taken offline. Two
 // processes may share it. Who changes it holds its lock from before it reads the file until it has
 // written it, so that no change of the other process is lost.
@@ -36,16 +43,14 @@
 	content []byte // as last read or written
 }
 
-// lock locks the file against changes by another process. unlock is never nil.
-func (f *banFile) lock() (unlock func(), err error) {
+// lock locks the file against changes by another process. It waits no longer than lockTimeout.
+func (f *banFile) lock() (*filelock.Lock, error) {
 	if f.path == "" {
-		return func() {}, nil
-	}
-	unlock, err = lockFile(f.path + lockSuffix)
-	if err != nil {
-		return func() {}, err
+		return nil, nil
 	}
-	return unlock, nil
+	ctx, cancel := context.WithTimeout(context.Background(), lockTimeout)
+	defer cancel()
+	return filelock.Acquire(ctx, f.path+lockSuffix)
 }
 
 // read returns the banned workers if the file has changed since it was last read or written. Content
--- a/internal/adminapi/banfile_test.go
+++ b/internal/adminapi/banfile_test.go
@@ -67,14 +67,14 @@
 func TestDecisionIsWrittenOnceTheFileIsFree(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "bans.json")
 	first, second := newBanServer(t, path), newBanServer(t, path)
-	unlock, err := second.bans.lock()
+	lock, err := second.bans.lock()
 	require.NoError(t, err)
 	decide(t, first, "s-1/offline")
 	assert.Equal(t, []balancer.WorkerID{1}, ejected(first))
 	require.NoError(t, second.bans.write([]balancer.WorkerID{2}))
 	first.reloadBans()
 	assert.Equal(t, []balancer.WorkerID{1, 2}, ejected(first), "the file is still locked")
-	unlock()
+	lock.Release()
 	first.reloadBans()
 	assert.Equal(t, []balancer.WorkerID{1, 2}, ejected(newBanServer(t, path)), "the next process")
 }
--- a/internal/adminapi/bans.go
+++ b/internal/adminapi/bans.go
@@ -38,8 +38,8 @@
 	if len(s.unsaved) == 0 {
 		return s.applyBanFile()
 	}
-	unlock, err := s.bans.lock()
-	defer unlock()
+	lock, err := s.bans.lock()
+	defer lock.Release()
 	update := s.applyBanFile()
 	s.saveBans(err)
 	return update
@@ -51,8 +51,8 @@
 func (s *Server) changeBan(id balancer.WorkerID, offline bool) (updates []oakthread.EndpointUpdate, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	unlock, err := s.bans.lock()
-	defer unlock()
+	lock, err := s.bans.lock()
+	defer lock.Release()
 	others := s.applyBanFile()
 	var own oakthread.EndpointUpdate
 	if offline {
