A next process starts beside one with a webhook front and takes its state file over

Cause: the state file has one process at a time, and the second run needed it to start, after it had opened the clients' listener. At the shutdown the front closed the file as soon as its own messages were answered, while the platform's server and HTTP/2 went on answering for 0.7 s and more; what completed then was queued in memory that nobody wrote.

Change: the file is handed over. A lock file beside it, the turn, is held by the process that accepts messages; the next one listens when it gets the turn, shortly before the linger of the first ends, and holds its messages until it has the state file, which the first closes after the core's last completion. Until then the next process keeps its notifications in a spool, a file in the form of the state file, and delivers from it; spools of killed processes are moved to the state file by the process that has it. A release without the turn is waited for by the lock of the state file. The webhook port lingers at SIGTERM as the others do. In the daemon all that can fail comes before the clients' listener.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -11,8 +11,8 @@
 	"oakthread/internal/violation"
 )
 
-// build creates the components that need no listener: the pool of connections to workers, the
-// socket for peer messages, the admin API, the endpoint cache and the core.
+// build creates the components that accept no connections: the pool of connections to workers, the
+// socket for peer messages, the admin API, the endpoint cache, the core and the webhook server.
 func (d *daemon) build() error {
 	d.buildWorkers()
 	if err := d.buildPeers(); err != nil {
@@ -23,7 +23,10 @@
 	if d.options.ConfigFile != nil && d.options.ConfigFile.EndpointCache != nil {
 		d.endpointCache = d.newEndpointCache()
 	}
-	return d.buildCore()
+	if err := d.buildCore(); err != nil {
+		return err
+	}
+	return d.openWebhooks()
 }
 
 // buildWorkers creates the pool of connections to workers.
@@ -79,8 +82,8 @@
 	return nil
 }
 
-// requestCompleted passes completions to the webhook server, which start sets before the server for
-// clients accepts requests.
+// requestCompleted passes completions to the webhook server, which build sets before a server
+// accepts requests.
 func (d *daemon) requestCompleted(completion oakthread.Completion) {
 	if d.webhooks != nil {
 		d.webhooks.HandleCompletion(completion)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,8 +79,10 @@
 	stopBackground context.CancelFunc
 	cacheClosed    chan struct{} // closed once the endpoint cache has written its final state; nil before it runs
 
-	webhooksEnded chan error // receives the result of the webhook server, once
-	http2Ended    chan error // receives the result of the HTTP/2 server, once
+	webhooksStarted  bool
+	webhooksEnded    chan error    // receives the result of the webhook server, once
+	http2Ended       chan error    // receives the result of the HTTP/2 server, once
+	completionsEnded chan struct{} // closed once the core has reported its last completion
 }
 
 // parts are the components of a daemon.
@@ -108,6 +110,8 @@
 		log:           options.Log.With("name", cfg.Name),
 		webhooksEnded: make(chan error, 1),
 		http2Ended:    make(chan error, 1),
+
+		completionsEnded: make(chan struct{}),
 	}
 	d.settings.MaxInFlight = d.sockets.maxRequests
 	if cfg.Channel != "" || options.ConfigFile != nil && options.ConfigFile.EndpointCache != nil {
@@ -130,6 +134,8 @@
 	if err = <-d.http2Ended; err != nil {
 		err = fmt.Errorf("http2: %w", err)
 	}
+	d.core.Counters() // answered after the event that reported the last completion
+	close(d.completionsEnded)
 	d.log.Info("ended", "left_open", leftOpen)
 	return errors.Join(err, <-d.webhooksEnded)
 }
@@ -142,6 +148,9 @@
 	if d.cacheClosed != nil {
 		<-d.cacheClosed
 	}
+	if d.webhooks != nil && !d.webhooksStarted {
+		d.webhooks.Discard()
+	}
 	if d.core != nil {
 		d.core.Close()
 	}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -12,33 +12,35 @@
 )
 
 // start opens the listeners and starts the goroutines of the daemon. It returns the listener for
-// clients, which serve uses. The webhook and HTTP/2 servers shut down when ctx ends and send their
-// result to d.webhooksEnded and d.http2Ended; the rest ends with d.background.
+// clients, which serve uses. It is opened last: in an upgrade the kernel gives it connections at
+// once, which would be reset if the start failed after that. The webhook and HTTP/2 servers shut
+// down when ctx ends and send their result to d.webhooksEnded and d.http2Ended; the rest ends with
+// d.background.
 func (d *daemon) start(ctx context.Context) (net.Listener, error) {
-	listener, err := platform.ListenBehind(ctx, d.options.Network, d.cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: listen: %w", err)
-	}
 	d.startEndpointWatch()
 	if d.peers != nil {
 		go func() { _ = d.peers.Listen(d.background, d.core.HandlePeerMessage) }()
 	}
 	d.reloader = newReloader(d)
-	if err := d.startWebhooks(ctx); err != nil {
-		return nil, err
-	}
 	d.server = platform.NewServer(d.core, d.cfg.Settings, d.classes)
 	d.server.ReadinessGate = d.adminAPI.Ready
 	d.server.OnViolation = d.recordViolation
 	d.reloader.apply = (&classUpdater{core: d.core, source: d.classes}).apply
-	go d.reloader.run(d.background)
 	if err := d.startAdminAPI(ctx); err != nil {
 		return nil, err
 	}
-	go newMonitor(d).run(d.background)
 	if err := d.startHTTP2(ctx); err != nil {
 		return nil, err
 	}
+	if err := d.startWebhooks(ctx); err != nil {
+		return nil, err
+	}
+	listener, err := platform.ListenBehind(ctx, d.options.Network, d.cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: listen: %w", err)
+	}
+	go d.reloader.run(d.background)
+	go newMonitor(d).run(d.background)
 	return listener, nil
 }
 
--- a/webhook/front.go
+++ b/webhook/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -24,6 +23,7 @@
 	keyReloadInterval  = 2 * time.Second // longest delay until changed key and SVID files are read
 	pruneInterval      = 10 * time.Minute
 	counterLogInterval = time.Minute
+	spoolInterval      = 5 * time.Second // longest delay of notifications that a killed process left
 	readHeaderTimeout  = 5 * time.Second
 	idleTimeout        = time.Minute
 	maxHeaderBytes     = 16 << 10
@@ -47,6 +47,8 @@
 	identities     spiffe.Source // nil: no mTLS
 	svidFiles      *spiffe.Files // identities from files; nil: given to Open, or none
 	temporaryState string        // path of a temporary state file to remove on release; empty: none
+	takeover       *takeover
+	taking         sync.WaitGroup // the goroutine that takes the state file over
 	log            *slog.Logger
 }
 
@@ -72,7 +74,7 @@
 	})
 	if err == nil {
 		f.Receiver, err = newReceiver(receiverConfig{
-			options: options, core: core, keys: f.keys, store: f.store, notifier: f.notifier,
+			options: options, core: core, keys: f.keys, store: f.store, state: f.takeover, notifier: f.notifier,
 			classes: source, tenants: tenants, log: log,
 		})
 	}
@@ -106,34 +108,50 @@
 
 // openStore opens the state file. Without a configured path it creates a temporary one, because
 // idempotent calls need receipts too, for as long as the process runs.
-func (f *Front) openStore() error {
-	path := f.options.State
-	if path == "" {
-		file, err := os.CreateTemp("", "oakthread-*.db")
-		if err != nil {
-			return fmt.Errorf("webhooks: %w", err)
-		}
-		path, f.temporaryState = file.Name(), file.Name()
-		file.Close()
+func (f *Front) openStore() (err error) {
+	if f.options.State != "" {
+		err = f.openOwnState(f.options.State)
+	} else {
+		err = f.openTemporaryState()
 	}
-	var err error
-	if f.store, err = OpenStore(path, f.options.MaxReceipts); err != nil {
+	if err != nil {
 		f.release()
 		return fmt.Errorf("webhooks: %w", err)
 	}
 	return nil
 }
 
-// release closes the state file, and removes it if it is temporary.
+// openTemporaryState opens a state file that only this process uses.
+func (f *Front) openTemporaryState() error {
+	file, err := os.CreateTemp("", "oakthread-*.db")
+	if err != nil {
+		return err
+	}
+	f.temporaryState = file.Name()
+	file.Close()
+	f.takeover = ownedState()
+	f.store, err = OpenStore(f.temporaryState, f.options.MaxReceipts)
+	return err
+}
+
+// release closes the state file, and removes it if it is temporary. Another process may have it then.
 func (f *Front) release() {
+	if f.takeover != nil {
+		f.takeover.turn.Release()
+	}
 	if f.store != nil {
-		_ = f.store.Close()
+		if err := f.store.Close(); err != nil {
+			f.log.Error("webhooks: state file not closed", "error", err)
+		}
 	}
 	if f.temporaryState != "" {
 		os.Remove(f.temporaryState)
 	}
 }
 
+// Discard releases the files of a front whose Serve is not called.
+func (f *Front) Discard() { f.release() }
+
 // transport returns the transport to an operator's endpoint. With identities it uses
 // mTLS and connects only to a peer with that operator's SPIFFE ID.
 func (f *Front) transport(operator Operator) http.RoundTripper {
@@ -150,11 +168,50 @@
 	f.notifier.HandleCompletion(completion)
 }
 
-// Serve receives messages on ln and delivers notifications until ctx is done. Then it stops
-// accepting messages, answers those that it has accepted and closes the state file. A value on
-// reload makes it reload the keys immediately. It returns nil after such a shutdown, and otherwise
-// the error that ended the server.
-func (f *Front) Serve(ctx context.Context, ln net.Listener, reload <-chan time.Time) error {
+// Drain describes how Serve ends.
+type Drain struct {
+	// Linger is how long messages are accepted after the shutdown began, since senders and a process
+	// that takes over learn of it with a delay.
+	Linger time.Duration
+	// Completed is closed once HandleCompletion is not called any more. Until then the state file
+	// stays open. nil: Serve does not wait.
+	Completed <-chan struct{}
+}
+
+// Serve receives messages and delivers notifications until ctx is done. It calls listen for its
+// listener once no other process accepts messages for the same state file, and admits messages once
+// no other process has that file open. At the end it stops accepting messages, answers those that it
+// has accepted, and closes the state file after the last notification is written. A value on reload
+// makes it reload the keys immediately. It returns nil after such a shutdown. An error that ends the
+// server before is logged at once, while notifications go on; it is returned after ctx is done.
+func (f *Front) Serve(
+	ctx context.Context, listen func() (net.Listener, error), reload <-chan time.Time, drain Drain,
+) error {
+	stopBackground := f.startBackground(reload)
+	err := f.serveMessages(ctx, listen, drain.Linger)
+	if err != nil {
+		f.log.Error("webhooks: front ended", "error", err)
+		f.takeover.turn.Release()
+		<-ctx.Done()
+	}
+	f.Close()
+	if drain.Completed != nil {
+		<-drain.Completed
+	}
+	stopBackground()
+	f.taking.Wait() // ended with ctx
+	f.release()
+	return err
+}
+
+// serveMessages accepts messages until ctx is done and linger has passed, and answers them.
+func (f *Front) serveMessages(
+	ctx context.Context, listen func() (net.Listener, error), linger time.Duration,
+) error {
+	ln, err := f.listenInTurn(ctx, listen)
+	if ln == nil {
+		return err
+	}
 	server := &http.Server{
 		Handler:           f.Receiver,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -163,27 +220,34 @@
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
 	ln = netutil.LimitListener(neterr.NewListener(ln, f.log), MaxConns)
-	stopBackground := f.startBackground(reload)
 	served := make(chan error, 1)
 	go func() { served <- f.serve(server, ln) }() // returns after Shutdown, or when accepting fails
 	f.log.Info("webhook front serving", "listen", ln.Addr().String(), "operators", len(f.options.Operators),
 		"mtls", f.identities != nil)
-	var err error
+	handOver := f.handOverTurn(ctx, linger)
 	select {
 	case err = <-served:
-	case <-ctx.Done():
-		err = server.Shutdown(context.Background()) // waits for calls, which end at their deadlines
-		<-served
-	}
-	f.Close()
-	stopBackground()
-	f.release()
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
+		return err
+	case <-handOver:
 	}
+	err = server.Shutdown(context.Background()) // waits for calls, which end at their deadlines
+	<-served
 	return err
 }
 
+// handOverTurn gives up the turn once ctx is done and linger is nearly over. It closes the returned
+// channel when linger is over.
+func (f *Front) handOverTurn(ctx context.Context, linger time.Duration) <-chan struct{} {
+	over := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		time.Sleep(max(0, linger-turnOverlap))
+		f.takeover.turn.Release()
+		time.Sleep(min(linger, turnOverlap))
+		close(over)
+	})
+	return over
+}
+
 // serve accepts connections until the server is shut down, under mTLS if there are identities.
 func (f *Front) serve(server *http.Server, ln net.Listener) error {
 	if f.identities == nil {
@@ -214,6 +278,7 @@
 	periodic(keyReloadInterval, f.keys.Watch)
 	periodic(pruneInterval, f.Prune)
 	periodic(counterLogInterval, f.logCounters)
+	periodic(spoolInterval, f.recoverSpools)
 	if f.svidFiles != nil {
 		periodic(keyReloadInterval, func(ctx context.Context, ticks <-chan time.Time) {
 			f.svidFiles.Watch(ctx, ticks, f.log)
--- a/webhook/front_test.go
+++ b/webhook/front_test.go
@@ -106,7 +106,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- front.Serve(ctx, ln, nil) }()
+	go func() { served <- front.Serve(ctx, func() (net.Listener, error) { return ln, nil }, nil, Drain{}) }()
 	return &identityFront{Front: front, core: core, address: ln.Addr().String(), stop: func() error {
 		cancel()
 		return <-served
--- a/webhook/handler.go
+++ b/webhook/handler.go
@@ -16,6 +16,10 @@
 // disk or a full store rarely recovers sooner.
 const storeRetryAfter = time.Minute
 
+// takeoverRetryAfter is the Retry-After of a message that came before this process had the state
+// file.
+const takeoverRetryAfter = 5 * time.Second
+
 // ServeHTTP verifies and decodes a message, admits it and responds with the outcome of its
 // execution.
 func (rc *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -32,6 +36,10 @@
 	if !ok {
 		return
 	}
+	if !rc.state.awaitState(r.Context()) {
+		rc.writeRejection(w, errNoState)
+		return
+	}
 	request, class, err := rc.decode(msg)
 	if err != nil {
 		rc.counters.malformed.Add(1)
@@ -114,6 +122,10 @@
 	case errors.Is(err, errBodyMismatch):
 		rc.counters.bodyMismatch.Add(1)
 		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, errNoState):
+		rc.counters.unavailable.Add(1)
+		httpreply.SetRetryAfter(w.Header(), takeoverRetryAfter)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		rc.counters.unavailable.Add(1)
 		if !errors.Is(err, errStoreFull) {
--- a/webhook/helpers_test.go
+++ b/webhook/helpers_test.go
@@ -132,7 +132,7 @@
 	})
 	require.NoError(d.t, err)
 	d.receiver, err = newReceiver(receiverConfig{
-		options: d.options, core: d.core, keys: d.keys, store: d.store, notifier: d.notifier,
+		options: d.options, core: d.core, keys: d.keys, store: d.store, state: ownedState(), notifier: d.notifier,
 		classes: d.classes, tenants: tenants, log: discardLog,
 	})
 	require.NoError(d.t, err)
--- a/webhook/notifier.go
+++ b/webhook/notifier.go
@@ -89,12 +89,6 @@
 // that was ahead become due now. It returns an error if notifications are configured without a
 // state file.
 func newNotifier(cfg notifierConfig) (*Notifier, error) {
-	if cfg.store != nil {
-		maxDelay := max(cfg.options.MaxBackoff.Duration, cfg.options.InitialBackoff.Duration)
-		if err := cfg.store.resetFarSchedule(monotime.Now(), maxDelay); err != nil {
-			return nil, fmt.Errorf("webhooks: state file: %w", err)
-		}
-	}
 	s := &Notifier{
 		options:          cfg.options,
 		keys:             cfg.keys,
@@ -106,6 +100,11 @@
 		log:              cfg.log,
 		wakeup:           make(chan struct{}, 1),
 	}
+	if cfg.store != nil {
+		if err := s.resetSchedule(); err != nil {
+			return nil, err
+		}
+	}
 	for _, operator := range cfg.keys.operators() {
 		s.clients[operator.Name] = newClient(operator, cfg.transport)
 	}
@@ -125,6 +124,16 @@
 	return s, nil
 }
 
+// resetSchedule makes notifications in the outbox due now if their due time was set by a clock that
+// was ahead.
+func (s *Notifier) resetSchedule() error {
+	maxDelay := max(s.options.MaxBackoff.Duration, s.options.InitialBackoff.Duration)
+	if err := s.store.resetFarSchedule(monotime.Now(), maxDelay); err != nil {
+		return fmt.Errorf("webhooks: state file: %w", err)
+	}
+	return nil
+}
+
 // newNotification returns the notification of a completion, or nil if notifications are not
 // configured for the operator or the class. Its ID is derived from the call's, so that a completion
 // that is reported twice results in one notification.
--- a/webhook/outbox.go
+++ b/webhook/outbox.go
@@ -57,7 +57,7 @@
 
 // enqueue adds notifications to the outbox, due at once.
 func (s *Store) enqueue(notifications []*notification) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
+	return s.update(func(tx *bbolt.Tx) error {
 		for _, n := range notifications {
 			if err := enqueue(tx, n); err != nil {
 				return err
@@ -70,7 +70,7 @@
 // due returns the notifications that are due and for which want returns true, in the order of their
 // due times, and the due time of the first that is not yet due; zero if there is none.
 func (s *Store) due(now time.Time, want func(*notification) bool) (ready []*notification, next time.Time, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.view(func(tx *bbolt.Tx) error {
 		cursor := tx.Bucket(outboxBucket).Cursor()
 		for key, raw := cursor.First(); key != nil; key, raw = cursor.Next() {
 			n := &notification{}
@@ -92,12 +92,12 @@
 
 // remove removes a notification that was delivered.
 func (s *Store) remove(id string) error {
-	return s.db.Batch(func(tx *bbolt.Tx) error { return unschedule(tx, id) })
+	return s.batch(func(tx *bbolt.Tx) error { return unschedule(tx, id) })
 }
 
 // reschedule makes an undelivered notification due again at the given time.
 func (s *Store) reschedule(n *notification, due time.Time) error {
-	return s.db.Batch(func(tx *bbolt.Tx) error {
+	return s.batch(func(tx *bbolt.Tx) error {
 		if err := unschedule(tx, n.ID); err != nil {
 			return err
 		}
@@ -108,7 +108,7 @@
 // abandon moves a notification out of the outbox. It stays in the state file until it is
 // pruned.
 func (s *Store) abandon(n *notification) error {
-	return s.db.Batch(func(tx *bbolt.Tx) error {
+	return s.batch(func(tx *bbolt.Tx) error {
 		if err := unschedule(tx, n.ID); err != nil {
 			return err
 		}
@@ -118,7 +118,7 @@
 
 // notificationCounts returns the numbers of notifications that are queued and that were abandoned.
 func (s *Store) notificationCounts() (queued, abandoned int, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.view(func(tx *bbolt.Tx) error {
 		queued = tx.Bucket(outboxIndexBucket).Stats().KeyN
 		abandoned = tx.Bucket(abandonedBucket).Stats().KeyN
 		return nil
@@ -129,7 +129,7 @@
 // resetFarSchedule makes notifications due now if their due time is more than maxDelay after now.
 // Such a due time was set while the clock was ahead.
 func (s *Store) resetFarSchedule(now time.Time, maxDelay time.Duration) error {
-	return s.db.Update(func(tx *bbolt.Tx) error {
+	return s.update(func(tx *bbolt.Tx) error {
 		var far []*notification
 		cursor := tx.Bucket(outboxBucket).Cursor()
 		for key, raw := cursor.Last(); key != nil && dueTime(key).Sub(now) > maxDelay; key, raw = cursor.Prev() {
--- a/webhook/receipts.go
+++ b/webhook/receipts.go
@@ -41,6 +41,7 @@
 	errReplayed     = errors.New("this signature was seen before")
 	errBodyMismatch = errors.New("this id came with another body")
 	errStoreFull    = errors.New("receipt limit reached")
+	errNoState      = errors.New("the state file has not been taken over yet")
 )
 
 var errReceiptMissing = errors.New("receipt is missing")
@@ -112,7 +113,7 @@
 	operator, id string, timestamp time.Time, fresh receipt, unstarted []string, repeatable func(receipt) bool,
 ) (r receipt, start bool, err error) {
 	key := receiptKey(operator, id)
-	err = s.db.Batch(func(tx *bbolt.Tx) error {
+	err = s.batch(func(tx *bbolt.Tx) error {
 		r, start = receipt{}, false
 		bucket := tx.Bucket(receiptBucket)
 		known, err := getJSON(bucket, key, &r)
@@ -171,7 +172,7 @@
 // notification. n may be nil.
 func (s *Store) recordOutcome(operator, id string, answer oakthread.Answer, n *notification) error {
 	key := receiptKey(operator, id)
-	return s.db.Batch(func(tx *bbolt.Tx) error {
+	return s.batch(func(tx *bbolt.Tx) error {
 		var r receipt
 		bucket := tx.Bucket(receiptBucket)
 		known, err := getJSON(bucket, key, &r)
@@ -192,7 +193,7 @@
 func (s *Store) failInterrupted(
 	newNotification func(operator, id string, r receipt) *notification,
 ) (count int, err error) {
-	err = s.db.Update(func(tx *bbolt.Tx) error {
+	err = s.update(func(tx *bbolt.Tx) error {
 		interrupted, err := runningReceipts(tx)
 		for key, r := range interrupted {
 			r.Status = statusFailed
@@ -225,7 +226,7 @@
 // prune deletes expired receipts, and abandoned notifications that are older than retention. It
 // returns the number of receipts deleted.
 func (s *Store) prune(now time.Time, retention time.Duration) (dropped int, err error) {
-	err = s.db.Update(func(tx *bbolt.Tx) error {
+	err = s.update(func(tx *bbolt.Tx) error {
 		dropped, err = deleteWhere(tx.Bucket(receiptBucket), func(r receipt) bool {
 			return r.Status != statusRunning && now.After(r.ExpiresAt)
 		})
--- a/webhook/receiver.go
+++ b/webhook/receiver.go
@@ -45,6 +45,7 @@
 	retention   time.Duration // of a receipt
 	bodyTimeout time.Duration
 
+	state     *takeover // admits messages once the process has the state file
 	executing *executions
 	counters  receiverCounters
 	logLimit  neterr.LogLimit
@@ -62,6 +63,7 @@
 	core     Doer
 	keys     *KeySet
 	store    *Store
+	state    *takeover
 	notifier *Notifier
 	classes  *classes.Source
 	tenants  []string
@@ -84,6 +86,7 @@
 		tenantIndex: map[string]int{},
 		retention:   cfg.options.ReceiptRetention.Duration,
 		bodyTimeout: bodyReadTimeout,
+		state:       cfg.state,
 		executing:   newExecutions(),
 		closing:     make(chan struct{}),
 	}
--- a/webhook/store.go
+++ b/webhook/store.go
@@ -2,10 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
+	"sync"
 	"time"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 )
 
 // Buckets of the state file. Their names and the JSON encoding of their records are the storage
@@ -20,7 +24,7 @@
 )
 
 const (
-	openTimeout   = time.Second          // for the lock of a state file that another process has open
+	openTimeout   = time.Second          // for a state file that another process has open
 	maxBatchDelay = 2 * time.Millisecond // bounds how long a write waits for others to share its sync
 )
 
@@ -33,18 +37,37 @@
 	Close() error
 }
 
+// ErrStateInUse states that another process has the state file open.
+var ErrStateInUse = errors.New("in use by another process")
+
 // Store is the state file. It holds the receipts of messages and the outbox of notifications. Every
 // change is synced to disk before the method that makes it returns. Only one process can have the
-// file open at a time.
+// file open at a time; see spool.go for what another one does meanwhile.
 type Store struct {
-	db          database
 	maxReceipts uint64
+
+	mu        sync.RWMutex // held for reading during a transaction, for writing while db is replaced
+	db        database
+	spoolPath string // path of the spool that db is; empty: db is the state file
 }
 
 // OpenStore opens the state file at path, or creates it. It holds at most maxReceipts receipts. It
-// returns an error if another process keeps the file open for openTimeout.
+// returns ErrStateInUse if another process keeps the file open for openTimeout.
 func OpenStore(path string, maxReceipts int) (*Store, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout})
+	db, err := openDatabase(path, openTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &Store{db: db, maxReceipts: uint64(maxReceipts)}, nil
+}
+
+// openDatabase opens or creates the file at path. It returns ErrStateInUse if another process keeps
+// it open for timeout.
+func openDatabase(path string, timeout time.Duration) (*bbolt.DB, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: timeout})
+	if errors.Is(err, berrors.ErrTimeout) {
+		err = ErrStateInUse
+	}
 	if err != nil {
 		return nil, fmt.Errorf("state file %s: %w", path, err)
 	}
@@ -53,7 +76,7 @@
 		_ = db.Close()
 		return nil, fmt.Errorf("state file %s: %w", path, err)
 	}
-	return &Store{db: db, maxReceipts: uint64(maxReceipts)}, nil
+	return db, nil
 }
 
 func createBuckets(tx *bbolt.Tx) error {
@@ -65,8 +88,41 @@
 	return nil
 }
 
-// Close closes the state file.
-func (s *Store) Close() error { return s.db.Close() }
+// update runs a transaction that changes the file.
+func (s *Store) update(change func(*bbolt.Tx) error) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.db.Update(change)
+}
+
+// batch is update for a change that shares its sync with those of other goroutines. change may run
+// more than once.
+func (s *Store) batch(change func(*bbolt.Tx) error) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.db.Batch(change)
+}
+
+// view runs a transaction that reads the file.
+func (s *Store) view(read func(*bbolt.Tx) error) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.db.View(read)
+}
+
+// Close closes the file. A spool without notifications is removed.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.spoolPath == "" {
+		return s.db.Close()
+	}
+	left, err := readNotifications(s.db)
+	if err == nil && left.isEmpty() {
+		err = os.Remove(s.spoolPath)
+	}
+	return errors.Join(err, s.db.Close())
+}
 
 // getJSON decodes the record at key into value and reports whether there is one.
 func getJSON(bucket *bbolt.Bucket, key []byte, value any) (found bool, err error) {
