A drain gives a new connection time for its first request

Callers saw: in TestWorkersTakenOutInUpgradeStayOut, once in two runs, a call on a connection of its own got EOF when the first of two processes ended: taken, and never answered.

Cause: the drain closes idle connections as it stops accepting, also those accepted a moment before, whose first request is on its way. In an upgrade the kernel gives new connections to the old process until its listener is closed, so there are always some. Evidence: the limiter closes such a connection in TestDrainWaitsForFirstRequestOfNewConnection.

A used connection is closed as before: its client sends again what crosses the close.

--- a/internal/platform/connclose.go
+++ b/internal/platform/connclose.go
@@ -20,13 +20,30 @@
 }
 
 // closeIfIdle closes a connection if keep-alives are off and the connection is idle: no request is
-// in flight on it or has begun to arrive. The caller holds mu.
+// in flight on it or has begun to arrive. A new connection is closed later, if nothing arrives on it
+// until then. The caller holds mu.
 func (l *connLimiter) closeIfIdle(conn *clientConn) {
-	if l.closeIdle && l.mayClose(conn, rules.CloseForDrain, time.Now()).OK() {
+	if !l.closeIdle || conn.closed {
+		return
+	}
+	now := time.Now()
+	switch reason := l.mayClose(conn, rules.CloseForDrain, now); {
+	case reason.OK():
 		l.closeOrRequestClose(conn)
+	case reason == rules.TooRecent:
+		time.AfterFunc(timeUntilIdle(conn, now), func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.closeIfIdle(conn)
+		})
 	}
 }
 
+// timeUntilIdle returns the time after which a connection may be closed if nothing arrives on it.
+func timeUntilIdle(conn *clientConn, now time.Time) time.Duration {
+	return max(rules.MinIdleTime(conn.reused)-now.Sub(conn.lastActivity), time.Millisecond)
+}
+
 // mayClose decides whether a connection may be closed for cause. The caller holds mu.
 func (l *connLimiter) mayClose(conn *clientConn, cause rules.CloseCause, now time.Time) rules.Reason {
 	state := conn.state(now)
@@ -93,7 +110,7 @@
 		case rules.Allowed:
 			candidates = append(candidates, conn)
 		case rules.TooRecent:
-			rest := max(rules.MinIdleTime(conn.reused)-now.Sub(conn.lastActivity), time.Millisecond)
+			rest := timeUntilIdle(conn, now)
 			if wait == 0 || rest < wait {
 				wait = rest
 			}
--- a/internal/platform/drain_test.go
+++ b/internal/platform/drain_test.go
@@ -175,3 +175,26 @@
 		})
 	}
 }
+
+// Guards against calls that a drain cuts off because they come on a connection that was accepted
+// right before: it stays open until its first request has had time to arrive, and is closed if none
+// does.
+func TestDrainWaitsForFirstRequestOfNewConnection(t *testing.T) {
+	limiter := newTestLimiter(t, 2)
+	called, client := acceptPair(t, limiter)
+	silent, _ := acceptPair(t, limiter)
+	limiter.setKeepAlives(false)
+	limiter.mu.Lock()
+	assert.False(t, called.closed)
+	limiter.mu.Unlock()
+	_, err := io.WriteString(client, "POST /call")
+	require.NoError(t, err)
+	_, err = called.Read(make([]byte, 64))
+	require.NoError(t, err)
+	_, err = silent.Read(make([]byte, 64))
+	require.ErrorIs(t, err, io.EOF)
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	assert.True(t, silent.closed)
+	assert.False(t, called.closed, "a request has begun to arrive on it")
+}
--- a/rules/conn.go
+++ b/rules/conn.go
@@ -26,7 +26,7 @@
 )
 
 // MinIdleTime returns how long a client's connection must have been idle before it may be closed to
-// make room for another client. reused states that the connection has carried a request.
+// make room for another client, or in a drain if it is new. reused states that the connection has carried a request.
 func MinIdleTime(reused bool) time.Duration {
 	if reused {
 		return minIdleReused
@@ -53,12 +53,19 @@
 		return RequestPartlyRead
 	case conn.UnreadData && !faulty:
 		return UnreadData
-	case cause == CloseForCapacity && !faulty && conn.Idle < MinIdleTime(conn.Reused):
+	case mustStayIdle(conn, cause) && !faulty && conn.Idle < MinIdleTime(conn.Reused):
 		return TooRecent
 	}
 	return Allowed
 }
 
+// mustStayIdle reports whether a connection must have been idle for MinIdleTime before it is closed
+// for a cause. In a drain that holds for new connections only: a client sends a request again that
+// crosses the close of a connection that it has used.
+func mustStayIdle(conn ClientConn, cause CloseCause) bool {
+	return cause == CloseForCapacity || !conn.Reused
+}
+
 // WorkerConn is the state of a connection to a worker.
 type WorkerConn struct {
 	ResponsePending bool // a request was started on it, and its response has not ended
