The endpoint cache is opened within a second after another process has closed it

Need: found while looking for what two processes lock while both run. The next version of an upgrade finds the cache in use, and tried again after 30 s; a restart in between began with the list of before the upgrade.

Change: a file that is in use is tried every second; other errors wait 30 s as before.

Result: TestFileOfEndedProcessIsOpenedSoon is new; before, its second attempt lay 30 s ahead.

--- a/internal/endpointcache/saver.go
+++ b/internal/endpointcache/saver.go
@@ -21,6 +21,10 @@
 
 	// reopenInterval is the time between attempts to open a file that cannot be opened.
 	reopenInterval = 30 * time.Second
+
+	// reopenIntervalInUse is the same for a file that another process has open, such as the previous
+	// version in an upgrade, which closes it when it ends.
+	reopenIntervalInUse = time.Second
 )
 
 // saveRequest is a snapshot to be saved.
@@ -155,13 +159,19 @@
 	s.backoff.Reset()
 }
 
-// reopenIfDue opens the file if it is not open, at most once per reopenInterval.
+// reopenIfDue opens the file if it is not open, at most once per reopenInterval, or per
+// reopenIntervalInUse while another process has it open.
 func (s *saver) reopenIfDue() {
 	if s.store != nil || monotime.Now().Before(s.reopenAt) {
 		return
 	}
-	s.reopenAt = monotime.Now().Add(reopenInterval)
-	s.store, _, _ = Open(s.path, s.owner) // open or handleFailure has logged the original error
+	var err error
+	s.store, _, err = Open(s.path, s.owner) // open or handleFailure has logged the original error
+	interval := reopenInterval
+	if errors.Is(err, ErrInUse) {
+		interval = reopenIntervalInUse
+	}
+	s.reopenAt = monotime.Now().Add(interval)
 }
 
 // handleFailure logs the first of several consecutive failures. It closes a damaged file, so that
--- a/internal/endpointcache/saver_test.go
+++ b/internal/endpointcache/saver_test.go
@@ -50,3 +50,22 @@
 	require.NoError(t, err)
 	assert.Len(t, found.Snapshot.Endpoints, 3)
 }
+
+// Guards against a list that the next version of an upgrade does not store for half a minute after
+// the previous one has ended, so that a restart in between begins with an old list.
+func TestFileOfEndedProcessIsOpenedSoon(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list.db")
+	previous, _, err := Open(path, "d1")
+	require.NoError(t, err)
+	next := newSaver(path, "d1", slog.New(slog.DiscardHandler))
+	assert.True(t, next.open().IsEmpty)
+	next.write()
+	require.Nil(t, next.store, "in use")
+	assert.LessOrEqual(t, next.reopenAt.Sub(monotime.Now()), reopenIntervalInUse)
+	require.NoError(t, previous.Close())
+	next.reopenAt = monotime.Now()
+	next.write()
+	assert.NotNil(t, next.store)
+	assert.False(t, next.unsaved)
+	next.close()
+}
