A client that leaves while it is checked gets nothing written

Cause: callerLeft asked the context, then the connection. Where the leaving was noticed in between, the connection was closed at this end, and the kernel tells nothing of a closed socket, so the client counted as there.

Change: the context is asked again after the connection; it ends before the connection is closed.

--- a/writepermission.go
+++ b/writepermission.go
@@ -45,7 +45,15 @@
 
 // callerLeft reports whether the caller has left, according to its context or its connection.
 func (p *writePermission) callerLeft() bool {
-	return p.caller.Err() != nil || p.callerGone != nil && p.callerGone()
+	if p.caller.Err() != nil {
+		return true
+	}
+	if p.callerGone == nil {
+		return false
+	}
+	// A connection that is closed at this end shows nothing any more. The context ends before that,
+	// so it is asked again after the connection.
+	return p.callerGone() || p.caller.Err() != nil
 }
 
 // revoke denies all further writes, and cancels the attempt or load order if nothing has been
--- a/writepermission_test.go
+++ b/writepermission_test.go
@@ -45,6 +45,18 @@
 	assert.Zero(t, core.Counters().Served)
 }
 
+// Guards against calls that are written for clients that have left: if the context ends and the
+// connection is closed between the two checks, the connection shows nothing any more.
+func TestWriteIsDeniedIfCallerLeavesDuringTheCheck(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	permission := &writePermission{
+		caller:     ctx,
+		callerGone: func() bool { leave(); return false },
+		cancel:     func(error) {},
+	}
+	assert.False(t, permission.begin())
+}
+
 // A revocation after the first byte does not cancel the attempt, but denies a write on another
 // connection.
 func TestRevocationAfterFirstByte(t *testing.T) {
