--- a/webhook/takeover.go
+++ b/webhook/takeover.go
@@ -44,8 +44,8 @@
 	path string
 	turn *filelock.Lock // nil: another process has it
 
-	// awaitsStateFirst is set if the process beside this one knows no turn, because it is of an
-	// earlier release: then only the lock of the state file tells that it accepts messages no more.
+	// awaitsStateFirst is set if the process beside this one is of an earlier release without a turn:
+	// it accepts messages until it releases the lock of the state file.
 	awaitsStateFirst bool
 
 	ready      chan struct{} // closed once the front has the state file
