Crowds and floods of clients are played on real processes, and fail

Change: TestMemoryStaysBelowLimitBesideCrowds and TestUsualCallsAreServedBesideFloods play them on the program as it is built for deployment, beside clients that keep to the protocol.

--- /dev/null
+++ b/cmd/dispatcher/abuse_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// crowdSize is the number of clients of a crowd. With the usual clients they are fewer than the
+	// third of the descriptors that clients may hold.
+	crowdSize = 300
+	// floodingClients is the number of clients that send at full speed.
+	floodingClients = 6
+	// headBytes is the size of a large head; the dispatcher accepts 16 KiB.
+	headBytes = 15 << 10
+	// bodyBytes is the size of the largest body that a call may have.
+	bodyBytes = 16 << 10
+	slowPause = 10 * time.Millisecond
+)
+
+// shortFields returns header fields of a few bytes each, under different names.
+func shortFields(bytes int) string {
+	var fields strings.Builder
+	for n := 0; fields.Len() < bytes; n++ {
+		fmt.Fprintf(&fields, "%x:\r\n", n)
+	}
+	return fields.String()
+}
+
+// Guards against a process that is killed for its memory while hundreds of clients are connected
+// whose requests are large, slow, or never complete.
+func TestMemoryStaysBelowLimitBesideCrowds(t *testing.T) {
+	fields := shortFields(headBytes)
+	for name, abuse := range map[string]func(r *abuseRig, conn net.Conn){
+		"heads of short fields without an end": func(r *abuseRig, conn net.Conn) {
+			_, _ = io.WriteString(conn, r.callHead(function, "path-check", 0)+fields)
+			awaitClose(conn)
+		},
+		"complete heads of short fields": func(r *abuseRig, conn net.Conn) {
+			r.inTurn(conn, func() string { return r.callHead(function, "path-check", 0) + fields + "\r\n" })
+		},
+		"heads of one long field without an end": func(r *abuseRig, conn net.Conn) {
+			_, _ = io.WriteString(conn, r.callHead(function, "path-check", 0)+"A: "+strings.Repeat("a", headBytes))
+			awaitClose(conn)
+		},
+		"half of a body": func(r *abuseRig, conn net.Conn) {
+			_, _ = io.WriteString(conn, r.callHead(function, "path-check", bodyBytes)+"\r\n"+strings.Repeat("a", bodyBytes/2))
+			awaitClose(conn)
+		},
+		"slow heads": func(r *abuseRig, conn net.Conn) {
+			head := r.callHead(function, "path-check", 0) + fields
+			for at := 0; at < len(head); at += headBytes / 100 {
+				if _, err := io.WriteString(conn, head[at:min(len(head), at+headBytes/100)]); err != nil {
+					return
+				}
+				time.Sleep(slowPause)
+			}
+			awaitClose(conn)
+		},
+		"large calls whose answers are not read": func(r *abuseRig, conn net.Conn) {
+			for {
+				call := r.callHead(function, "path-check", bodyBytes) + "\r\n" + strings.Repeat("a", bodyBytes)
+				if _, err := io.WriteString(conn, call); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newAbuseRig(t)
+			r.abuseUntilServed(crowdSize, func(conn net.Conn) { abuse(r, conn) })
+			r.check()
+		})
+	}
+}
+
+// Guards against calls that are answered late or never, and against memory that grows, while some
+// clients send small or malformed requests on their connections as fast as they can.
+func TestUsualCallsAreServedBesideFloods(t *testing.T) {
+	const check = "GET /ping HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, abuse := range map[string]func(r *abuseRig, conn net.Conn){
+		"readiness checks in turn": func(r *abuseRig, conn net.Conn) {
+			r.inTurn(conn, func() string { return check })
+		},
+		"readiness checks at once": func(r *abuseRig, conn net.Conn) {
+			r.pipeline(conn, func() string { return strings.Repeat(check, 20) })
+		},
+		"calls of new functions in turn": func(r *abuseRig, conn net.Conn) {
+			r.inTurn(conn, func() string { return r.callHead(r.newCallID(), "path-check", 1) + "\r\nx" })
+		},
+		"calls of new functions at once": func(r *abuseRig, conn net.Conn) {
+			r.pipeline(conn, func() string { return r.callHead(r.newCallID(), "path-check", 1) + "\r\nx" })
+		},
+		"calls of new classes": func(r *abuseRig, conn net.Conn) {
+			r.inTurn(conn, func() string { return r.callHead(function, r.newCallID(), 1) + "\r\nx" })
+		},
+		"no HTTP": func(r *abuseRig, conn net.Conn) {
+			r.pipeline(conn, func() string { return strings.Repeat("\r\n", 1000) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newAbuseRig(t)
+			r.abuseUntilServed(floodingClients, func(conn net.Conn) { abuse(r, conn) })
+			r.check()
+		})
+	}
+}
--- a/cmd/dispatcher/helpers_test.go
+++ b/cmd/dispatcher/helpers_test.go
@@ -135,14 +135,21 @@
 // environment variables.
 func startProcess(t *testing.T, config string, env ...string) *process {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
-	cmd := exec.CommandContext(t.Context(), os.Args[0])
-	cmd.Env = append(append(os.Environ(), env...), runAsProgramEnv+"=1", "ROUTER_CONFIG="+path)
+	return startBinary(t, os.Args[0], config, append(env, runAsProgramEnv+"=1")...)
+}
+
+// startBinary starts a binary of the program as a separate process with a configuration and further
+// environment variables.
+func startBinary(t *testing.T, path, config string, env ...string) *process {
+	t.Helper()
+	configPath := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(configPath, []byte(config), 0o600))
+	cmd := exec.CommandContext(t.Context(), path)
+	cmd.Env = append(append(os.Environ(), env...), "ROUTER_CONFIG="+configPath)
 	out, err := cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
-	return &process{Cmd: cmd, t: t, configPath: path, log: bufio.NewScanner(out)}
+	return &process{Cmd: cmd, t: t, configPath: configPath, log: bufio.NewScanner(out)}
 }
 
 // await reads the log up to a line that contains text.
