Requests of all clients hold a bounded part of the memory, and heads 100 fields at most

Each connection could make net/http parse a head of some 4,000 fields of a few bytes (some 100 bytes of memory each), hold a body and its growing buffers, read 32 KB ahead, and leave answers unread for ever; the collector's soft limit did not know of the program's own pages, a third of 32 MB. A class of bug: a limit for each connection, none for all of them.

Change: package ingress (pure) decides. A head of over 100 fields gets 431 before net/http parses it. What unanswered requests hold beyond 1 KB each is counted, read ahead or not; over a sixteenth of the memory the request that has been arriving for longest is refused with 503, and a complete one that still does not fit is rejected. A body's buffer grows with what has arrived. An answer has 5 s to be read. A client that sends over 32 KB behind a request in flight is ended. The soft limit follows the resident pages of the program. Counters heads_refused, slow_refused, answers_unread; debug lines name the reason of each refusal and close.

--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -5,6 +5,7 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/ingress"
 )
 
 // logCounters logs the counters of the core and of the components around it.
@@ -38,6 +39,9 @@
 		"orders", counters.LoadOrders,
 		"orders_held", counters.LoadOrdersWithheld,
 		"bad", m.server.Malformed(),
+		"heads_refused", m.server.Refused(ingress.TooManyFields),
+		"slow_refused", m.server.Refused(ingress.MemoryExhausted),
+		"answers_unread", m.server.Refused(ingress.AnswersNotRead),
 		"checks", counters.Leases.Checks,
 		"checks_rejected", counters.Leases.ChecksRejected,
 		"checks_failed", counters.Leases.ChecksFailed,
--- a/internal/daemon/monitor.go
+++ b/internal/daemon/monitor.go
@@ -30,7 +30,8 @@
 // confirmation of the endpoint list.
 type monitor struct {
 	parts
-	log *slog.Logger
+	log    *slog.Logger
+	memory int64 // memory limit of the process in bytes; 0: its runtime's limits are not set
 
 	logged           oakthread.Counters // as last logged
 	nextLog          time.Time
@@ -41,7 +42,11 @@
 
 // newMonitor returns a monitor of the components of a daemon.
 func newMonitor(d *daemon) *monitor {
-	return &monitor{parts: d.parts, log: d.log}
+	m := &monitor{parts: d.parts, log: d.log}
+	if !d.options.SharedProcess {
+		m.memory = d.cfg.Memory
+	}
+	return m
 }
 
 // run checks the daemon every monitorInterval until ctx ends.
@@ -64,6 +69,7 @@
 // check logs what has changed since the last check.
 func (m *monitor) check(ctx context.Context) {
 	woken := time.Now()
+	updateRuntimeMemoryLimit(m.memory)
 	counters := m.core.Counters()
 	m.detectClockStep()
 	m.detectUnconfirmedList(woken)
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -23,6 +23,7 @@
 	}
 	d.reloader = newReloader(d)
 	d.server = platform.NewServer(d.core, d.cfg.Settings, d.classes)
+	d.server.RequestMemory = d.cfg.Memory / requestMemoryDivisor
 	d.server.ReadinessGate = d.adminAPI.Ready
 	d.server.OnViolation = d.recordViolation
 	d.reloader.apply = (&classUpdater{core: d.core, source: d.classes}).apply
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -10,9 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"oakthread/ingress"
 	"oakthread/internal/neterr"
 )
 
+// responseWriteTimeout limits the time for which a client may leave an answer unread.
+const responseWriteTimeout = 5 * time.Second
+
 // pastDeadline is a deadline that interrupts a read immediately.
 var pastDeadline = time.Unix(1, 0)
 
@@ -27,6 +31,8 @@
 	ambiguous atomic.Bool // a request had contradictory lengths: data after it cannot be trusted
 	ahead     readAhead
 
+	refused error // ends all reads, since a request was refused; used by the same goroutine
+
 	mu             sync.Mutex
 	deadline       time.Time // the read deadline that was set last
 	isTimeout      bool      // deadline was in the future when set: it is no interruption
@@ -50,22 +56,35 @@
 	if err := c.stopReadAhead(); err != nil {
 		return 0, err
 	}
-	n, err := c.readNext(b)
-	if c.tracker.consume(b[:n]) {
+	if err := c.refuseUnfinished(); err != nil {
+		return 0, err
+	}
+	n, counted, err := c.readNext(b)
+	if c.tracker.consume(b[:n], time.Now()) {
 		c.ambiguous.Store(true)
 	}
-	if cancelRequest := c.limiter.endRead(c, n > 0, c.tracker.hasPipelined()); cancelRequest != nil {
+	cancelRequest := c.limiter.endRead(c, n, counted)
+	if refusal := c.refuseUnfinished(); refusal != nil {
+		return 0, refusal
+	}
+	if cancelRequest != nil {
 		c.startReadAhead(cancelRequest)
 	}
 	return n, err
 }
 
-// readNext reads the bytes that were read ahead, or from the socket if there are none.
-func (c *clientConn) readNext(b []byte) (int, error) {
+// readNext reads the bytes that were read ahead, or from the socket if there are none. counted states
+// that they have been counted toward the memory of requests.
+func (c *clientConn) readNext(b []byte) (n int, counted bool, err error) {
 	if c.ahead.isEmpty() {
-		return c.readSocket(b)
+		n, err = c.readSocket(b)
+		return n, false, err
+	}
+	n, err = c.ahead.take(b)
+	if errors.Is(err, errReadAheadOverflow) {
+		c.refused = err
 	}
-	return c.ahead.take(b)
+	return n, true, err
 }
 
 // restoreDeadline sets the last read deadline again, unless a close is requested.
@@ -145,8 +164,18 @@
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
-// Write writes all of b, also if a lack of system resources cuts a write short.
-func (c *clientConn) Write(b []byte) (int, error) { return neterr.Write(c.Conn, b) }
+// Write writes all of b, also if a lack of system resources cuts a write short. It fails if the
+// client does not read for responseWriteTimeout.
+func (c *clientConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(responseWriteTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := neterr.Write(c.Conn, b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.limiter.noteRefusal(c, ingress.AnswersNotRead)
+	}
+	return n, err
+}
 
 // SetReadDeadline sets the deadline for reads. While a close is requested, it is stored and takes
 // effect only if the close is cancelled.
@@ -171,6 +200,9 @@
 // Close closes the connection and then removes it from the limiter. In this order there are never
 // more open connections than the limit.
 func (c *clientConn) Close() error {
+	if c.refused != nil {
+		c.discardUnread()
+	}
 	err := c.Conn.Close()
 	c.limiter.remove(c)
 	return err
--- a/internal/platform/connactivity.go
+++ b/internal/platform/connactivity.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"oakthread/ingress"
 	"oakthread/rules"
 )
 
@@ -24,6 +25,9 @@
 	reading         bool               // a read is in progress: it may hold uncounted bytes
 	cancelRequest   context.CancelFunc // cancels the request in flight if its client disconnects
 	closed          bool
+	holding         ingress.Holding
+	refusal         ingress.Refusal // why the unfinished request is to be refused
+	exceedsMemory   bool            // the bytes read last did not fit into the memory of requests
 }
 
 // weightedIdleTime returns how long the connection has been idle, multiplied by unusedConnWeight if
@@ -57,6 +61,13 @@
 	return conn.pipelined
 }
 
+// readAt returns when the request in flight on a connection was read, false if it is not complete.
+func (l *connLimiter) readAt(conn *clientConn) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return conn.tracker.readAt()
+}
+
 // beginRead records that a read begins: until endRead, bytes may have left the kernel uncounted.
 func (l *connLimiter) beginRead(conn *clientConn) {
 	l.mu.Lock()
@@ -64,19 +75,23 @@
 	conn.reading = true
 }
 
-// endRead records the end of a read, whether it returned bytes, and whether bytes have arrived
-// after the request in flight. If a request is in flight, it returns the function that cancels it;
-// the caller then starts the read-ahead, and the connection counts as being read until the next
-// read.
-func (l *connLimiter) endRead(conn *clientConn, hasBytes, pipelined bool) context.CancelFunc {
+// endRead records the end of a read that returned a number of bytes, which the connection's tracker
+// has processed. counted states that they count toward the memory of requests already. If a request
+// is in flight, it returns the function that cancels it; the caller then starts the read-ahead, and
+// the connection counts as being read until the next read.
+func (l *connLimiter) endRead(conn *clientConn, bytes int, counted bool) context.CancelFunc {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conn.reading = false
-	if !hasBytes {
+	if bytes == 0 {
 		return nil
 	}
 	_ = conn.cancelClose()
-	conn.lastActivity, conn.partlyRead, conn.pipelined = time.Now(), true, pipelined
+	conn.lastActivity, conn.partlyRead, conn.pipelined = time.Now(), true, conn.tracker.hasPipelined()
+	if counted {
+		bytes = 0
+	}
+	l.countBytes(conn, bytes)
 	l.changed.Broadcast() // an Accept that waits for this one to be closed must choose another
 	if !conn.requestInFlight {
 		return nil
@@ -93,6 +108,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conn.requestInFlight = true
+	conn.holding.Began = time.Time{}
 	return !conn.closed
 }
 
@@ -114,9 +130,10 @@
 // endRequest records that a response has been written. The caller holds mu.
 func (l *connLimiter) endRequest(conn *clientConn) {
 	conn.reused, conn.requestInFlight, conn.cancelRequest = true, false, nil
-	conn.tracker.answered++
+	conn.tracker.answer()
 	conn.partlyRead = conn.tracker.hasUnanswered()
 	conn.pipelined = conn.tracker.hasPipelined()
+	l.releaseAnswered(conn)
 	l.closeIfIdle(conn)
 	l.changed.Broadcast()
 }
--- a/internal/platform/connclose.go
+++ b/internal/platform/connclose.go
@@ -29,6 +29,7 @@
 	now := time.Now()
 	switch reason := l.mayClose(conn, rules.CloseForDrain, now); {
 	case reason.OK():
+		l.logClose(conn, rules.CloseForDrain)
 		l.closeOrRequestClose(conn)
 	case reason == rules.TooRecent:
 		time.AfterFunc(timeUntilIdle(conn, now), func() {
@@ -85,10 +86,16 @@
 func (l *connLimiter) closeNow(conn *clientConn) {
 	conn.closed = true
 	delete(l.conns, conn)
+	l.memory.Set(&conn.holding, 0)
 	_ = conn.Conn.Close()
 	l.changed.Broadcast()
 }
 
+// logClose logs at level debug why an idle connection is closed.
+func (l *connLimiter) logClose(conn *clientConn, cause rules.CloseCause) {
+	l.log.Debug("client connection closed", "reason", cause.String(), "client", conn.RemoteAddr().String())
+}
+
 // remove removes a connection that the server has closed.
 func (l *connLimiter) remove(conn *clientConn) {
 	l.mu.Lock()
@@ -96,6 +103,7 @@
 	if !conn.closed {
 		conn.closed = true
 		delete(l.conns, conn)
+		l.memory.Set(&conn.holding, 0)
 		l.changed.Broadcast()
 	}
 }
--- a/internal/platform/connlimiter.go
+++ b/internal/platform/connlimiter.go
@@ -8,7 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"oakthread/ingress"
 	"oakthread/internal/neterr"
+	"oakthread/rules"
 )
 
 // connLimiter is a listener that keeps at most max connections open. It closes idle connections to
@@ -29,12 +31,17 @@
 	conns     map[*clientConn]struct{}
 	closeIdle bool // connections are closed once they are idle
 	stopping  bool // only connections in the kernel's backlog are still accepted
+	memory    ingress.Memory
+
+	refusals [ingress.RefusalReasons]atomic.Int64 // requests refused before they were complete, by reason
 }
 
-// newConnLimiter returns a limiter of the connections that ln accepts.
-func newConnLimiter(ln net.Listener, maxConns int, log *slog.Logger) *connLimiter {
+// newConnLimiter returns a limiter of the connections that ln accepts. Their requests may hold
+// requestMemory bytes together.
+func newConnLimiter(ln net.Listener, maxConns int, requestMemory int64, log *slog.Logger) *connLimiter {
 	l := &connLimiter{
 		Listener: ln, max: maxConns, log: log, stopped: make(chan struct{}), conns: map[*clientConn]struct{}{},
+		memory: ingress.NewMemory(requestMemory),
 	}
 	l.changed = sync.NewCond(&l.mu)
 	return l
@@ -47,7 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &clientConn{Conn: accepted, limiter: l, connActivity: connActivity{lastActivity: time.Now()}}
+	now := time.Now()
+	conn := &clientConn{
+		Conn: accepted, limiter: l, connActivity: connActivity{lastActivity: now},
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.max {
@@ -67,6 +77,7 @@
 	if conn == nil {
 		return false, wait
 	}
+	l.logClose(conn, rules.CloseForCapacity)
 	l.closeOrRequestClose(conn)
 	return conn.closed, 0
 }
--- a/internal/platform/framing.go
+++ b/internal/platform/framing.go
@@ -78,6 +78,14 @@
 	return f.ended || f.lineCount == 0 && len(f.line) == 0 && !f.inBody
 }
 
+// headFields returns the number of header fields that have arrived of a head that is not complete.
+func (f *framer) headFields() int {
+	if f.inBody || f.ended {
+		return 0
+	}
+	return max(f.lineCount-1, 0)
+}
+
 // parseLine parses a line of a head. An empty line ends the head.
 func (f *framer) parseLine(line string) {
 	f.lineCount++
--- a/internal/platform/readahead.go
+++ b/internal/platform/readahead.go
@@ -23,6 +23,10 @@
 	done   chan struct{} // closed when the read-ahead has ended; nil: none is running
 }
 
+// errReadAheadOverflow ends a connection whose client has sent more than maxReadAheadBytes behind a
+// request in flight. The protocol has one request at a time on a connection.
+var errReadAheadOverflow = errors.New("too many bytes behind a request in flight")
+
 // isEmpty reports whether there are neither bytes nor an error to return.
 func (a *readAhead) isEmpty() bool { return a.buffer.Len() == 0 && a.err == nil }
 
@@ -44,7 +48,10 @@
 	c.ahead.done = done
 	go func() {
 		defer close(done)
-		c.readAheadUntilError(cancelRequest)
+		if err := c.readAheadUntilError(); err != nil {
+			c.ahead.err = err
+			cancelRequest()
+		}
 	}()
 }
 
@@ -60,20 +67,22 @@
 	return c.restoreDeadline()
 }
 
-// readAheadUntilError reads up to about maxReadAheadBytes or until an error, which cancels the
-// request in flight: its client has disconnected. An interrupted read only ends the read-ahead.
-func (c *clientConn) readAheadUntilError(cancelRequest context.CancelFunc) {
+// readAheadUntilError reads ahead until an error, which it returns: the client has disconnected, or
+// has sent more than is read ahead. Then a close may be hidden behind what the kernel does not
+// accept from the client, so the client counts as gone. An interrupted read returns nil.
+func (c *clientConn) readAheadUntilError() error {
 	chunk := make([]byte, readAheadChunkBytes)
-	for c.ahead.buffer.Len() < maxReadAheadBytes {
+	for {
 		n, err := neterr.Read(c.Conn, chunk)
 		c.ahead.buffer.Write(chunk[:n])
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		}
-		if err != nil {
-			c.ahead.err = err
-			cancelRequest()
-			return
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil
+		case err != nil:
+			return err
+		case !c.limiter.countReadAhead(c, n) || c.ahead.buffer.Len() > maxReadAheadBytes:
+			c.ahead.buffer.Reset()
+			return errReadAheadOverflow
 		}
 	}
 }
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -11,11 +11,13 @@
 
 	"oakthread"
 	"oakthread/balancer"
+	"oakthread/ingress"
 )
 
 const (
 	maxRequestBytes  = 16 << 10
 	maxClientTimeout = time.Hour
+	minBodyBuffer    = 1 << 10 // size of the first buffer of a body that is longer, in bytes
 	// responseTimeReserve is subtracted from a client's timeout for sending the response, but no
 	// more than responseTimeReserveRatio of the timeout. On a busy CPU core each direction may take
 	// tens of milliseconds.
@@ -39,10 +41,16 @@
 // little early.
 func arrivalTime(r *http.Request) time.Time {
 	now := time.Now()
-	if conn := clientConnFrom(r.Context()); conn != nil {
-		return now.Add(-lastDataAge(conn.Conn))
+	conn := clientConnFrom(r.Context())
+	if conn == nil {
+		return now
 	}
-	return now
+	arrived := now.Add(-lastDataAge(conn.Conn))
+	// Later bytes may belong to a request behind this one.
+	if readAt, ok := conn.limiter.readAt(conn); ok && readAt.Before(arrived) {
+		return readAt
+	}
+	return arrived
 }
 
 // readRequest reads a request that arrived at the given time. If it returns an error, status is the
@@ -57,14 +65,43 @@
 	if r.ContentLength > maxRequestBytes {
 		return request, http.StatusRequestEntityTooLarge, fmt.Errorf("body is over %d bytes", maxRequestBytes)
 	}
-	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	request.Body, err = readRequestBody(http.MaxBytesReader(w, r.Body, maxRequestBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return request, http.StatusRequestEntityTooLarge, fmt.Errorf("body is over %d bytes", maxRequestBytes)
 	}
+	if refusalOf(err) == ingress.MemoryExhausted {
+		return request, http.StatusServiceUnavailable, err
+	}
 	return request, http.StatusBadRequest, err
 }
 
+// readRequestBody reads a body of the given length, unknownLength if it is not given. Its buffer
+// grows with what has arrived, and not beyond the length.
+func readRequestBody(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	var buffer []byte
+	for int64(len(buffer)) < length {
+		if len(buffer) == cap(buffer) {
+			grown := make([]byte, len(buffer), min(max(2*int64(cap(buffer)), minBodyBuffer), length))
+			copy(grown, buffer)
+			buffer = grown
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil && int64(len(buffer)) < length {
+			return nil, err
+		}
+	}
+	_, err := body.Read(make([]byte, 1)) // reaches the end, so that net/http watches for a disconnect
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return buffer, nil
+}
+
 // parseHeader parses a request without its body. key is the function in the path.
 func (s *Server) parseHeader(
 	key string, header http.Header, arrived time.Time,
--- /dev/null
+++ b/internal/platform/requestlimits_test.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread/ingress"
+)
+
+// Guards against heads whose parsed fields take far more memory than their bytes: they are refused
+// with 431, also behind an answered request.
+func TestHeadOfManyFieldsIsRefused(t *testing.T) {
+	s := newTestbed(t, testbedOptions{}, newRecordingExecutor(t, nil))
+	client := s.dial()
+	s.write(client, callText(firstID, "path-check", "x"))
+	require.Equal(t, http.StatusOK, s.readStatus(client))
+	s.write(client, "GET /ping HTTP/1.1\r\n"+strings.Repeat("a:\r\n", ingress.MaxHeadFields+1))
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, s.readStatus(client))
+	_, err := client.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "the connection is closed")
+	assert.EqualValues(t, 1, s.server.Refused(ingress.TooManyFields))
+	s.close()
+}
+
+// Guards against memory that unfinished requests hold: once it is exhausted, the request that has
+// been arriving for longest is refused, in its head or in its body, and the others are answered.
+func TestSlowestRequestIsRefusedForMemory(t *testing.T) {
+	const large = 8 << 10
+	for name, begun := range map[string]string{
+		"head": "POST /call/7f3a9c21e0b4d655/trigger HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", large),
+		"body": strings.TrimSuffix(callText(firstID, "path-check", strings.Repeat("x", large+1)), "x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t, testbedOptions{requestMemory: large + large/2}, newRecordingExecutor(t, nil))
+			slow, fast := s.dial(), s.dial()
+			s.write(slow, begun)
+			s.awaitHeld(large)
+			call := callText(secondID, "path-check", strings.Repeat("x", large))
+			s.write(fast, call)
+			assert.Equal(t, http.StatusOK, s.readStatus(fast))
+			assert.Equal(t, http.StatusServiceUnavailable, s.readStatus(slow))
+			assert.EqualValues(t, 1, s.server.Refused(ingress.MemoryExhausted))
+			s.close()
+			assert.Zero(t, s.held(), "held after all are answered")
+		})
+	}
+}
+
+// A complete request that does not fit beside other complete ones is rejected.
+func TestCompleteRequestIsRejectedForMemory(t *testing.T) {
+	const large = 8 << 10
+	arrived, release := make(chan bool), make(chan bool)
+	s := newTestbed(t, testbedOptions{requestMemory: large + large/2},
+		newRecordingExecutor(t, func(http.ResponseWriter, *http.Request) {
+			arrived <- true
+			<-release
+		}))
+	first, second := s.dial(), s.dial()
+	s.write(first, callText(firstID, "path-check", strings.Repeat("x", large)))
+	<-arrived
+	s.write(second, callText(secondID, "path-check", strings.Repeat("x", large)))
+	assert.Equal(t, http.StatusServiceUnavailable, s.readStatus(second))
+	close(release)
+	assert.Equal(t, http.StatusOK, s.readStatus(first))
+	assert.Equal(t, []string{firstID}, s.executors[0].requests())
+	s.close()
+}
+
+// held returns the number of bytes that the requests of all clients hold.
+func (s *testbed) held() int64 {
+	limiter := s.server.limiter.Load()
+	if limiter == nil {
+		return 0
+	}
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	return limiter.memory.Held()
+}
+
+// awaitHeld waits until the requests of all clients hold nearly a number of bytes.
+func (s *testbed) awaitHeld(bytes int64) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool { return s.held() >= bytes-2*ingress.FreeBytes },
+		10*time.Second, time.Millisecond)
+}
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,8 @@
 	// requestReadTimeout is the time within which the platform requires that a client that does not
 	// send a complete request is rejected or its connection closed.
 	requestReadTimeout = 3 * time.Second
+	// defaultRequestMemory is the value of Server.RequestMemory if it is not set, in bytes.
+	defaultRequestMemory = 64 << 20
 	// maxRequestHeaderBytes limits the head of a request.
 	maxRequestHeaderBytes = 16 << 10
 )
@@ -34,7 +37,7 @@
 func (s *Server) Serve(
 	ctx context.Context, ln net.Listener, conns int, linger time.Duration, log *slog.Logger,
 ) error {
-	limiter := newConnLimiter(ln, conns, log)
+	limiter := newConnLimiter(ln, conns, cmp.Or(s.RequestMemory, defaultRequestMemory), log)
 	httpServer := s.newHTTPServer(limiter, log)
 	s.limiter.Store(limiter)
 	served := make(chan error, 1)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -11,6 +11,7 @@
 
 	"oakthread"
 	"oakthread/classes"
+	"oakthread/ingress"
 	"oakthread/internal/httpreply"
 	"oakthread/internal/monotime"
 	"oakthread/internal/violation"
@@ -21,6 +22,10 @@
 // is of no more use than none.
 const maxResponseDelay = 500 * time.Millisecond
 
+// memoryRetryAfter is the retry delay of a call that is rejected because requests hold too much
+// memory.
+const memoryRetryAfter = time.Second
+
 // errAmbiguousLengths rejects a request whose end other parsers may see elsewhere.
 var errAmbiguousLengths = errors.New("the lengths of a request on this connection contradict each other")
 
@@ -28,6 +33,9 @@
 type Server struct {
 	// OnViolation, if set before Serve, is called for each violation of a rule.
 	OnViolation func(rule, path, id, detail string)
+	// RequestMemory, if set before Serve, is the number of bytes that unanswered requests of all
+	// clients may hold together; 0 stands for 64 MiB.
+	RequestMemory int64
 	// ReadinessGate, if set before Serve, makes readiness checks fail while it returns false.
 	ReadinessGate func() bool
 
@@ -74,6 +82,14 @@
 	return 0
 }
 
+// Refused returns the number of requests that were refused for a reason before they were complete.
+func (s *Server) Refused(reason ingress.Refusal) int64 {
+	if limiter := s.limiter.Load(); limiter != nil {
+		return limiter.refusals[reason].Load()
+	}
+	return 0
+}
+
 // SetKeepAlives turns keep-alives on or off. Turning them off closes the idle connections of
 // clients and closes every other one after its response. It takes effect once Serve runs, and does
 // nothing while the server drains.
@@ -162,7 +178,7 @@
 	if conn != nil {
 		request.CallerGone = func() bool { return clientHasClosed(conn.Conn) }
 	}
-	answer, err := s.core.Do(r.Context(), request)
+	answer, err := s.dispatch(r.Context(), conn, request)
 	s.announceClose(w, r)
 	if late := time.Since(request.Deadline); err == nil && began.Before(request.Deadline) && late > maxResponseDelay {
 		s.reportViolation(violation.RuleInTime, violation.PathAnswer, request.ID,
@@ -172,6 +188,16 @@
 	s.countOutcome(r.Header.Get(classHeader), httpreply.Status(answer, err))
 }
 
+// dispatch passes a call to the core, unless its request does not fit into the memory of requests:
+// then the call is rejected. conn is nil for a connection without a limiter.
+func (s *Server) dispatch(ctx context.Context, conn *clientConn, request oakthread.Request) (oakthread.Answer, error) {
+	if conn != nil && conn.limiter.isOverMemory(conn) {
+		conn.limiter.noteRefusal(conn, ingress.MemoryExhausted)
+		return oakthread.Answer{Outcome: oakthread.Rejected, RetryAfter: memoryRetryAfter}, nil
+	}
+	return s.core.Do(ctx, request)
+}
+
 // noteDeadline raises latestDeadline, which a drain waits for, to deadline if that is later.
 func (s *Server) noteDeadline(deadline time.Time) {
 	nanos, latest := monotime.Nanos(deadline), s.latestDeadline.Load()
--- a/internal/platform/testbed_test.go
+++ b/internal/platform/testbed_test.go
@@ -73,8 +73,9 @@
 
 // testbedOptions modify a testbed. The zero value changes nothing.
 type testbedOptions struct {
-	settings func(*wire.Settings)                // changes the settings
-	listener func(*net.TCPListener) net.Listener // wraps the server's listener
+	settings      func(*wire.Settings)                // changes the settings
+	listener      func(*net.TCPListener) net.Listener // wraps the server's listener
+	requestMemory int64                               // of all requests, in bytes; 0: the default
 }
 
 // testbed is a server with a core and a pool of executors, on real sockets. To force the order of a
@@ -121,6 +122,7 @@
 	require.NoError(t, err)
 	t.Cleanup(s.core.Close)
 	s.server = NewServer(s.core, settings, source)
+	s.server.RequestMemory = options.requestMemory
 	s.serve(options)
 	s.updateEndpoints(balancer.EndpointsSnapshot, func(int, *oakthread.Endpoint) {})
 	return s
--- a/rules/conn.go
+++ b/rules/conn.go
@@ -25,6 +25,14 @@
 	CloseForDrain                      // the dispatcher is out of service or shuts down
 )
 
+// String returns the text of the cause in logs.
+func (c CloseCause) String() string {
+	if c == CloseForDrain {
+		return "drain"
+	}
+	return "capacity"
+}
+
 // MinIdleTime returns how long a client's connection must have been idle before it may be closed to
 // make room for another client, or in a drain if it is new. reused states that the connection has carried a request.
 func MinIdleTime(reused bool) time.Duration {
