A client whose close may be hidden behind unread bytes gets nothing written

Cause: a client wrote a call and 128 KB behind it and closed; its call was written to a worker all the same.

Change: right before a write a client with 8 KB or more unread counts as one that may have left; a client that sends one request at a time leaves nothing unread. All tests of clients that leave also close behind 128 KB.

--- a/internal/platform/disconnect_test.go
+++ b/internal/platform/disconnect_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,12 @@
 		}
 		return c.Close()
 	},
+	"close behind much that is unread": func(c *net.TCPConn) error {
+		if _, err := io.WriteString(c, callText(thirdID, "path-check", strings.Repeat("x", 128<<10))); err != nil {
+			return err
+		}
+		return c.Close()
+	},
 	"close after a complete next request": func(c *net.TCPConn) error {
 		if _, err := io.WriteString(c, callText(thirdID, "path-check", "x")); err != nil {
 			return err
--- a/internal/platform/requestlimits_test.go
+++ b/internal/platform/requestlimits_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -72,6 +73,29 @@
 	s.close()
 }
 
+// Guards against requests that are sent on although their client has closed the connection behind
+// them, with more unread than the dispatcher reads ahead.
+func TestRequestsBehindACloseAreNotSent(t *testing.T) {
+	arrived, release := make(chan bool, 1), make(chan bool)
+	s := newTestbed(t, testbedOptions{settings: withoutCancellation},
+		newRecordingExecutor(t, func(http.ResponseWriter, *http.Request) {
+			arrived <- true
+			<-release
+		}))
+	client := s.send(firstID, "path-book")
+	<-arrived
+	for i := range 40 {
+		call := callText(fmt.Sprintf("%016x", 0x100+i), "path-book", strings.Repeat("x", 4<<10))
+		_, _ = io.WriteString(client, call) // the dispatcher may end the connection meanwhile
+	}
+	_ = client.Close()
+	s.awaitAbandoned(firstID)
+	close(release)
+	assert.Equal(t, http.StatusOK, s.call(thirdID, "path-check"))
+	s.close()
+	assert.Equal(t, []string{firstID, thirdID}, s.executors[0].requests())
+}
+
 // held returns the number of bytes that the requests of all clients hold.
 func (s *testbed) held() int64 {
 	limiter := s.server.limiter.Load()
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -176,7 +176,7 @@
 	}
 	s.noteDeadline(request.Deadline)
 	if conn != nil {
-		request.CallerGone = func() bool { return clientHasClosed(conn.Conn) }
+		request.CallerGone = func() bool { return clientMayHaveLeft(conn.Conn) }
 	}
 	answer, err := s.dispatch(r.Context(), conn, request)
 	s.announceClose(w, r)
--- a/internal/platform/socketstate.go
+++ b/internal/platform/socketstate.go
@@ -12,9 +12,7 @@
 const maxDataAge = time.Minute
 
 // hasUnread reports whether the kernel holds unread bytes of a connection.
-func hasUnread(conn net.Conn) bool {
-	return socketValuePositive(conn, func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCINQ) })
-}
+func hasUnread(conn net.Conn) bool { return unreadBytes(conn) > 0 }
 
 // lastDataAge returns how long ago the last bytes arrived at a socket, read or not, in whole
 // milliseconds (tcp(7), TCP_INFO). The kernel also measures it while this process does not run or
@@ -31,6 +29,28 @@
 	return age
 }
 
+// hiddenCloseBytes is the number of unread bytes from which a client's close may be hidden: the
+// kernel shows it only once it has accepted all bytes in front of it, and it accepts no more while
+// its buffer is full. A client that sends one request at a time leaves none unread.
+const hiddenCloseBytes = 8 << 10
+
+// clientMayHaveLeft reports whether the client has closed the connection, or whether so much is
+// unread that the kernel may not show it.
+func clientMayHaveLeft(conn net.Conn) bool {
+	return clientHasClosed(conn) || unreadBytes(conn) >= hiddenCloseBytes
+}
+
+// unreadBytes returns the number of bytes of a connection that the kernel holds, 0 if it is not
+// known.
+func unreadBytes(conn net.Conn) (bytes int) {
+	socketValuePositive(conn, func(fd int) (int, error) {
+		var err error
+		bytes, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
+		return bytes, err
+	})
+	return bytes
+}
+
 // clientHasClosed reports whether the client has closed the connection or its sending side, or has
 // reset it, even if this process has not read up to that point. It is false if the kernel gives no
 // state.
