Connections that send at full speed are served at a bounded rate

A connection whose next request is always there never blocks, so its goroutine keeps the one thread until the scheduler takes it away after some 10 ms; a call passes eight or so goroutines and waits for all such connections at each. Ruled out: checks sent in turn by the same clients (33,000/s in a trial) did no harm, so it is neither the processor's quota nor the event loop; no stall of the loop was logged. A class of bug: work per wake-up without a bound.

Change: ingress.Pacer, a token bucket for each connection (10 at once, then 100/s, 20/s for requests that arrive before the answer to the one in front) under a rate that all connections at their limit share; ingress.Accepts bounds new connections (512 at once, then 2,000/s). Waiting requests hold no thread. Counter paced.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -9,6 +9,72 @@
 
 var start = time.Unix(1000, 0)
 
+// handledIn returns how many requests of connections that send the next one as soon as the one
+// before is handled are handled within a time.
+func handledIn(connections int, pipelined bool, within time.Duration) (handled int) {
+	pacer := NewPacer(start)
+	flows, due := make([]Flow, connections), make([]time.Time, connections)
+	for i := range flows {
+		flows[i], due[i] = NewFlow(start), start
+	}
+	const step = time.Millisecond // the time that a request takes beside its wait
+	for now := start; now.Before(start.Add(within)); now = now.Add(step) {
+		for i := range flows {
+			if !now.Before(due[i]) {
+				due[i] = now.Add(pacer.Next(now, &flows[i], pipelined))
+				handled++
+			}
+		}
+	}
+	return handled
+}
+
+// Connections at full speed get a bounded rate each, and a bounded rate together.
+func TestPacerBoundsRates(t *testing.T) {
+	const seconds = 10
+	for name, test := range map[string]struct {
+		connections int
+		pipelined   bool
+		atMost      float64 // requests per second, beside the burst
+	}{
+		"one":             {1, false, maxRate},
+		"six":             {6, false, 6 * maxRate},
+		"hundreds":        {300, false, 1.1 * sharedRate},
+		"one pipelined":   {1, true, maxPipelinedRate},
+		"many pipelined":  {300, true, 1.5 * sharedPipelinedRate},
+		"more than share": {600, false, 600 * minRate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			handled := handledIn(test.connections, test.pipelined, seconds*time.Second)
+			bursts := 2 * burst * test.connections
+			assert.LessOrEqual(t, float64(handled), test.atMost*seconds+float64(bursts))
+			assert.Positive(t, handled)
+		})
+	}
+}
+
+// A connection that sends no faster than clients usually do never waits, whatever others do.
+func TestPacerLetsUsualConnectionsPass(t *testing.T) {
+	pacer := NewPacer(start)
+	usual, flooding := NewFlow(start), NewFlow(start)
+	for i := range 500 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		for range 20 {
+			pacer.Next(now, &flooding, false)
+		}
+		assert.Zero(t, pacer.Next(now, &usual, false))
+	}
+}
+
+// Connections are accepted at a bounded rate after a burst.
+func TestAcceptsAreBounded(t *testing.T) {
+	accepts, now, accepted := NewAccepts(start), start, 0
+	for ; now.Before(start.Add(time.Second)); accepted++ {
+		now = now.Add(accepts.Next(now))
+	}
+	assert.InDelta(t, acceptBurst+acceptRate, accepted, 2)
+}
+
 // Small requests are not counted; of large ones, that which has been arriving for longest is to be
 // refused once they exceed the limit.
 func TestMemoryPrefersSlowest(t *testing.T) {
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -42,6 +42,7 @@
 		"heads_refused", m.server.Refused(ingress.TooManyFields),
 		"slow_refused", m.server.Refused(ingress.MemoryExhausted),
 		"answers_unread", m.server.Refused(ingress.AnswersNotRead),
+		"paced", m.server.Paced(),
 		"checks", counters.Leases.Checks,
 		"checks_rejected", counters.Leases.ChecksRejected,
 		"checks_failed", counters.Leases.ChecksFailed,
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -31,7 +31,10 @@
 	ambiguous atomic.Bool // a request had contradictory lengths: data after it cannot be trusted
 	ahead     readAhead
 
-	refused error // ends all reads, since a request was refused; used by the same goroutine
+	// nextPipelined states that bytes of the next request had arrived before the latest answer was
+	// written. Only the goroutine that serves the connection uses it.
+	nextPipelined bool
+	refused       error // ends all reads, since a request was refused; used by the same goroutine
 
 	mu             sync.Mutex
 	deadline       time.Time // the read deadline that was set last
--- a/internal/platform/connactivity.go
+++ b/internal/platform/connactivity.go
@@ -25,6 +25,7 @@
 	reading         bool               // a read is in progress: it may hold uncounted bytes
 	cancelRequest   context.CancelFunc // cancels the request in flight if its client disconnects
 	closed          bool
+	flow            ingress.Flow
 	holding         ingress.Holding
 	refusal         ingress.Refusal // why the unfinished request is to be refused
 	exceedsMemory   bool            // the bytes read last did not fit into the memory of requests
--- a/internal/platform/connlimiter.go
+++ b/internal/platform/connlimiter.go
@@ -32,16 +32,20 @@
 	closeIdle bool // connections are closed once they are idle
 	stopping  bool // only connections in the kernel's backlog are still accepted
 	memory    ingress.Memory
+	pacer     ingress.Pacer
+	accepts   ingress.Accepts
 
 	refusals [ingress.RefusalReasons]atomic.Int64 // requests refused before they were complete, by reason
+	paced    atomic.Int64                         // requests that waited for their connection's turn
 }
 
 // newConnLimiter returns a limiter of the connections that ln accepts. Their requests may hold
 // requestMemory bytes together.
 func newConnLimiter(ln net.Listener, maxConns int, requestMemory int64, log *slog.Logger) *connLimiter {
+	now := time.Now()
 	l := &connLimiter{
 		Listener: ln, max: maxConns, log: log, stopped: make(chan struct{}), conns: map[*clientConn]struct{}{},
-		memory: ingress.NewMemory(requestMemory),
+		memory: ingress.NewMemory(requestMemory), pacer: ingress.NewPacer(now), accepts: ingress.NewAccepts(now),
 	}
 	l.changed = sync.NewCond(&l.mu)
 	return l
@@ -50,13 +54,14 @@
 // Accept accepts the next connection and waits until fewer than max connections are open. After
 // stopAccepting it returns errAcceptStopped once the backlog is empty.
 func (l *connLimiter) Accept() (net.Conn, error) {
+	l.paceAccept()
 	accepted, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	conn := &clientConn{
-		Conn: accepted, limiter: l, connActivity: connActivity{lastActivity: now},
+		Conn: accepted, limiter: l, connActivity: connActivity{lastActivity: now, flow: ingress.NewFlow(now)},
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/platform/pacing.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// awaitTurn waits until the pacer lets the request that has just been read be handled, or until ctx
+// ends.
+func (c *clientConn) awaitTurn(ctx context.Context) {
+	wait := c.limiter.nextTurn(c)
+	if wait <= 0 {
+		return
+	}
+	c.limiter.paced.Add(1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// nextTurn returns how long the request that has just been read on a connection waits.
+func (l *connLimiter) nextTurn(conn *clientConn) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pacer.Next(time.Now(), &conn.flow, conn.nextPipelined)
+}
+
+// noteIfPipelined records, before the answer is sent, whether bytes of the next request have arrived.
+func (c *clientConn) noteIfPipelined() { c.nextPipelined = c.limiter.isPipelined(c) }
+
+// paceAccept waits until the next connection may be accepted, or until stopAccepting.
+func (l *connLimiter) paceAccept() {
+	wait := l.nextAccept()
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.stopped:
+	}
+}
+
+// nextAccept returns how long to wait before the next connection is accepted.
+func (l *connLimiter) nextAccept() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping {
+		return 0
+	}
+	return l.accepts.Next(time.Now())
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -90,6 +90,14 @@
 	return 0
 }
 
+// Paced returns the number of requests that waited because their connection sends too fast.
+func (s *Server) Paced() int64 {
+	if limiter := s.limiter.Load(); limiter != nil {
+		return limiter.paced.Load()
+	}
+	return 0
+}
+
 // SetKeepAlives turns keep-alives on or off. Turning them off closes the idle connections of
 // clients and closes every other one after its response. It takes effect once Serve runs, and does
 // nothing while the server drains.
@@ -111,6 +119,8 @@
 		defer cancelRequest()
 		conn.limiter.setCancel(conn, cancelRequest)
 		r = r.WithContext(ctx)
+		conn.awaitTurn(ctx)
+		defer conn.noteIfPipelined()
 	}
 	if conn != nil && conn.ambiguous.Load() {
 		s.rejectMalformed(w, http.StatusBadRequest, errAmbiguousLengths)
