A booking whose id comes again does not run again, nor at the other process of an upgrade

Cause: the core remembered a call only while it was pending. A class of bug: "at most once" kept by the attempts of one pending call, not by the call's id.

The daemon keeps it in $TMPDIR/oakthread-claims-ADDR, which the processes of an upgrade map; the id of a class that must not run twice is claimed, under a lock that ends with its process, right before the first byte is written. Who finds the id claimed answers 409, or 502 where the other process claims it at the same time; never a rejection, which would promise that nothing ran. oakthread.Config.Claims; nil is a table of the Core's own. Keyed classes are as before: a worker takes their key for the same call. Processes of the testbed have their own TMPDIR.

--- a/attempt.go
+++ b/attempt.go
@@ -41,6 +41,7 @@
 			callerGone: request.CallerGone,
 			cancel:     cancel,
 			leaseHolds: func() bool { return c.leaseHolds(leaseEnd) },
+			claim:      request.claim,
 		},
 		key:    attemptKey{request.ID, request.attempts},
 		class:  request.Class,
--- a/cmd/dispatcher/helpers_test.go
+++ b/cmd/dispatcher/helpers_test.go
@@ -145,7 +145,7 @@
 	configPath := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(configPath, []byte(config), 0o600))
 	cmd := exec.CommandContext(t.Context(), path)
-	cmd.Env = append(append(os.Environ(), env...), "ROUTER_CONFIG="+configPath)
+	cmd.Env = append(append(os.Environ(), "TMPDIR="+t.TempDir()), append(env, "ROUTER_CONFIG="+configPath)...)
 	out, err := cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
--- a/config.go
+++ b/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oakthread/balancer"
+	"oakthread/internal/claims"
 )
 
 // Config holds the settings and dependencies of a Core. Workers is required; the other fields have
@@ -21,6 +22,9 @@
 	Workers Workers
 	// Peers exchanges messages with other dispatchers; nil means that there are none.
 	Peers Peers
+	// Claims records which requests of classes that must not run twice may have run; nil stands for a
+	// table of this Core alone. Processes that share the requests of their clients share the table.
+	Claims Claims
 	// Admit is called once for each request, before it is passed to the balancer. If ok is false,
 	// the request is rejected with wait as its Retry-After. It runs in the event loop and must not
 	// block. Nil admits every request.
@@ -40,6 +44,15 @@
 	Log *slog.Logger
 }
 
+// Claims is a set of the IDs of requests that may have run. Its methods are safe for concurrent use.
+type Claims interface {
+	// Claim adds an ID. It returns false if the ID is in the set already, or if that is not known. It
+	// may block for some milliseconds.
+	Claim(id string) bool
+	// IsClaimed reports whether an ID is in the set. It does not block.
+	IsClaimed(id string) bool
+}
+
 const (
 	// defaultMaxInFlight replaces a Config.MaxInFlight of zero.
 	defaultMaxInFlight = 4096
@@ -57,6 +70,9 @@
 	if c.MaxInFlight <= 0 {
 		c.MaxInFlight = defaultMaxInFlight
 	}
+	if c.Claims == nil {
+		c.Claims = claims.New()
+	}
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -7,6 +7,7 @@
 
 	"oakthread"
 	"oakthread/internal/adminapi"
+	"oakthread/internal/claims"
 	"oakthread/internal/platform"
 	"oakthread/internal/violation"
 )
@@ -76,12 +77,27 @@
 	if d.endpointCache != nil {
 		cfg.Admit, cfg.Observed = d.endpointCache.Admit, d.endpointCache.Observe
 	}
+	cfg.Claims = d.openClaims()
 	if d.core, err = oakthread.New(cfg); err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
 	return nil
 }
 
+// openClaims opens the table of requests that may have run, which the processes of an upgrade share. If
+// that is not possible, the table is this process's own.
+func (d *daemon) openClaims() oakthread.Claims {
+	if d.options.SharedProcess {
+		return claims.New()
+	}
+	table, err := claims.OpenFile(claims.FilePath(os.TempDir(), d.cfg.Listen))
+	if err != nil {
+		d.log.Warn("claims not shared with other processes", "error", err)
+		return claims.New()
+	}
+	return table
+}
+
 // requestCompleted passes completions to the webhook server, which build sets before a server
 // accepts requests.
 func (d *daemon) requestCompleted(completion oakthread.Completion) {
--- a/internal/lab/dispatchers.go
+++ b/internal/lab/dispatchers.go
@@ -199,7 +199,7 @@
 		args = append(args, "--config", d.OperatorFile)
 	}
 	d.cmd = exec.Command(run.Path, args...)
-	d.cmd.Env = append(append(os.Environ(), run.Env...), "ROUTER_CONFIG="+d.Config)
+	d.cmd.Env = append(append(os.Environ(), run.Env...), "ROUTER_CONFIG="+d.Config, "TMPDIR="+d.Dir)
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	d.cmd.Stderr = out
 	if err := d.cmd.Start(); err != nil {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -64,7 +64,7 @@
 		args = append(args, "--config", n.OperatorFile)
 	}
 	cmd := exec.Command(n.program.Path, args...)
-	cmd.Env = append(append(os.Environ(), n.program.Env...), "ROUTER_CONFIG="+n.Config)
+	cmd.Env = append(append(os.Environ(), n.program.Env...), "ROUTER_CONFIG="+n.Config, "TMPDIR="+n.Dir)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
--- a/oakthread.go
+++ b/oakthread.go
@@ -19,7 +19,8 @@
 var (
 	// ErrClosed means that the Core is closed, or was closed before the request was answered.
 	ErrClosed = errors.New("oakthread: dispatcher is closed")
-	// ErrDuplicate means that a request with the same ID is already in flight.
+	// ErrDuplicate means that a request with the same ID is already in flight, or that one of a class
+	// that must not run twice may have run.
 	ErrDuplicate = errors.New("oakthread: a request with this ID is already in flight")
 	// ErrInvalid means that the request has no ID, no deadline or an unknown class.
 	ErrInvalid = errors.New("oakthread: invalid request: no ID, no deadline or an unknown class")
--- a/request.go
+++ b/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"oakthread/balancer"
@@ -19,6 +20,7 @@
 	endedByInFlightLimit = "in_flight_limit"
 	endedByAdmission     = "admission"
 	endedOverdue         = "overdue"
+	endedByClaim         = "claimed"
 )
 
 // pendingRequest is a request that has no final answer yet. It is owned by Do until admit runs, and
@@ -31,6 +33,9 @@
 	executions int             // number of attempts that may have run
 	endReason  string          // why it ended without a worker's response; "" otherwise
 	answer     chan result     // buffered, receives the only answer
+	// claim claims the ID before the first write and returns the same result from then on; nil: the
+	// request may run again under its ID.
+	claim func() bool
 }
 
 // result holds the return values of Do.
@@ -95,6 +100,13 @@
 		request.answer <- result{err: ErrDuplicate}
 		return
 	}
+	if c.isNonIdempotent(request) {
+		if c.cfg.Claims.IsClaimed(request.ID) {
+			request.answer <- result{err: ErrDuplicate}
+			return
+		}
+		request.claim = c.claimOnce(request)
+	}
 	c.state.counters.Accepted++
 	now := time.Now()
 	full := len(c.state.requests) >= c.cfg.MaxInFlight
@@ -117,6 +129,28 @@
 	c.dispatch(request)
 }
 
+// claimOnce returns a function that claims the ID of a request. If the ID is claimed already, the
+// request under it may have run, and this one fails.
+func (c *Core) claimOnce(request *pendingRequest) func() bool {
+	return sync.OnceValue(func() bool {
+		if c.cfg.Claims.Claim(request.ID) {
+			return true
+		}
+		go c.post(func() { c.failClaimed(request) }) // the event loop may wait for the caller's lock
+		return false
+	})
+}
+
+// failClaimed fails a request whose ID was claimed by another one.
+func (c *Core) failClaimed(request *pendingRequest) {
+	if c.state.requests[request.ID] != request {
+		return
+	}
+	request.endReason = endedByClaim
+	c.complete(request, Answer{Outcome: Failed})
+	c.state.balancer.HandleClientGone(c.now(), request.ID)
+}
+
 // dispatch passes a request to the balancer, which calls balancer.Host to start an attempt or to
 // reject the request, at once or later.
 func (c *Core) dispatch(request *pendingRequest) {
--- a/writepermission.go
+++ b/writepermission.go
@@ -25,6 +25,7 @@
 	callerGone func() bool             // whether the caller has left; nil if only the context shows it
 	cancel     context.CancelCauseFunc // cancels the attempt or load order
 	leaseHolds func() bool             // whether the worker's lease is valid; nil if none is needed
+	claim      func() bool             // claims the request's ID, once all else allows the write; nil: not needed
 
 	mu             sync.Mutex
 	begun, revoked bool
@@ -36,7 +37,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	write := rules.Write{CallerLeft: p.callerLeft(), Revoked: p.revoked, LeaseExpired: p.leaseExpired()}
-	p.begun = rules.MayWrite(write).OK()
+	p.begun = rules.MayWrite(write).OK() && (p.claim == nil || p.claim())
 	return p.begun
 }
 
