What is remembered of functions and of ended requests is bounded

Cause: each function that a client named was remembered for a minute by the core (for load orders) and for keep-alive and decay time by the balancer, with a holder at each worker tried; an ended request kept its timer entry until its deadline, up to an hour ahead. A class of bug: tables whose size a client chooses.

Change: Settings.MaxFunctions (an eighth of the memory at 512 bytes each; 65,536 without a limit). The core forgets the older half. Timer entries of ended requests are swept once there are over 8,192 entries.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -146,6 +146,7 @@
 	s.Dispatchers = max(1, s.Dispatchers)
 	s.MaxAttempts = max(1, s.MaxAttempts)
 	s.FullScanLimit = cmp.Or(s.FullScanLimit, defaultFullScanLimit)
+	s.MaxFunctions = cmp.Or(s.MaxFunctions, DefaultMaxFunctions)
 	s.ClockResolution = max(s.ClockResolution, minClockResolution)
 	s.OverloadFactor = max(s.OverloadFactor, 0)
 }
--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -32,6 +32,9 @@
 
 // acceptRequest adds a request to the pending ones.
 func (b *Balancer) acceptRequest(now int64, request Request) *requestState {
+	if b.holders.isFull(b.settings.MaxFunctions) && b.holders.lookup(request.Func) == nil {
+		b.evictFunctions()
+	}
 	function := b.holders.functionFor(now, request)
 	accepted := &requestState{
 		Request:         request,
--- a/balancer/maintenance.go
+++ b/balancer/maintenance.go
@@ -135,6 +135,7 @@
 		worker.dropOldFailures(now)
 	}
 	b.endpoints.sweep()
+	b.timers.sweep()
 }
 
 // pruneActive removes workers from the recently active ones that are not listed or have had no
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -5,6 +5,9 @@
 	"math"
 )
 
+// DefaultMaxFunctions replaces a Settings.MaxFunctions of 0.
+const DefaultMaxFunctions = 1 << 16
+
 // minClockResolution is the minimum of Settings.ClockResolution: one millisecond, the resolution of
 // times in the platform's messages.
 const minClockResolution int64 = 1_000_000
@@ -44,6 +47,7 @@
 	MaxAttempts     int
 	FullScanLimit   int // maximum length of an endpoint list that each choice scans in full; 0: 256
 	MaxInFlight     int // maximum number of pending requests; 0: no limit
+	MaxFunctions    int // maximum number of functions that are remembered; 0: DefaultMaxFunctions
 	Hedging         bool
 	HealthChecks    bool
 	Cancellation    bool
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -19,6 +19,24 @@
 	sweptAt       int64
 }
 
+// minSweptEntries is the number of timer entries up to which those of ended requests are kept.
+const minSweptEntries = 1 << 13
+
+// sweep removes the entries of requests that have ended, which may be due only much later, if there
+// are many entries.
+func (q *timerQueue) sweep() {
+	if len(q.entries) <= minSweptEntries {
+		return
+	}
+	kept := make(timerHeap, 0, minSweptEntries)
+	for _, entry := range q.entries {
+		if entry.request == nil || !entry.request.done {
+			kept.push(entry)
+		}
+	}
+	q.entries = kept
+}
+
 // rearm returns the delay, in nanoseconds, for a new host timer. It returns changed as false if
 // there are no entries or the current timer fires early enough.
 func (q *timerQueue) rearm(now int64) (delay int64, changed bool) {
--- a/core.go
+++ b/core.go
@@ -1,6 +1,7 @@
 package oakthread
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -70,7 +71,10 @@
 			attempts:  map[attemptKey]*inFlightAttempt{},
 			loads:     map[*inFlightLoad]struct{}{},
 			endpoints: map[balancer.WorkerID]listedEndpoint{},
-			functions: recentFunctions{entries: map[balancer.FuncID]recentFunction{}},
+			functions: recentFunctions{
+				entries: map[balancer.FuncID]recentFunction{},
+				limit:   cmp.Or(cfg.Settings.MaxFunctions, balancer.DefaultMaxFunctions),
+			},
 		},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 		completionsEnded: make(chan struct{}),
 	}
 	d.settings.MaxInFlight = d.sockets.maxRequests
+	d.settings.MaxFunctions = maxFunctions(cfg.Memory)
 	if cfg.Channel != "" || options.ConfigFile != nil && options.ConfigFile.EndpointCache != nil {
 		d.settings.ConfirmInterval = int64(platform.HeartbeatInterval)
 		d.settings.EndpointUpdateDelay = int64(platform.EndpointUpdateDelay)
--- a/internal/daemon/runtimelimits.go
+++ b/internal/daemon/runtimelimits.go
@@ -26,8 +26,18 @@
 	// requestMemoryDivisor is the divisor for the share of the memory limit that the requests of
 	// all clients may hold together.
 	requestMemoryDivisor = 16
+	// functionMemoryDivisor is the same for what is remembered of functions, and functionBytes the
+	// memory of one function with its holders.
+	functionMemoryDivisor = 8
+	functionBytes         = 512
 )
 
+// maxFunctions returns how many functions a process that may take memory bytes remembers, 0 for the
+// default.
+func maxFunctions(memory int64) int {
+	return int(memory / functionMemoryDivisor / functionBytes)
+}
+
 // setRuntimeLimits sets the limits of the Go runtime to the CPU and memory limits of the
 // configuration.
 func setRuntimeLimits(cfg *platform.Config) {
--- a/loadorder.go
+++ b/loadorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oakthread/balancer"
@@ -21,6 +22,7 @@
 // for these, with the key of the latest request.
 type recentFunctions struct {
 	entries   map[balancer.FuncID]recentFunction
+	limit     int // maximum number of entries
 	lastSweep time.Time
 }
 
@@ -31,20 +33,37 @@
 }
 
 // add records a request for a function. It removes expired entries at intervals of at least a tenth
-// of recentFunctionTTL.
+// of recentFunctionTTL, and the older half of the entries if there are too many.
 func (r *recentFunctions) add(function balancer.FuncID, key string, now time.Time) {
 	r.entries[function] = recentFunction{key, now}
-	if now.Sub(r.lastSweep) < recentFunctionTTL/10 {
-		return
+	if now.Sub(r.lastSweep) >= recentFunctionTTL/10 {
+		r.lastSweep = now
+		r.removeBefore(now.Add(-recentFunctionTTL))
+	}
+	if len(r.entries) > r.limit {
+		r.removeBefore(r.medianTime())
 	}
-	r.lastSweep = now
+}
+
+// removeBefore removes the entries of functions that were not requested since a time.
+func (r *recentFunctions) removeBefore(since time.Time) {
 	for id, entry := range r.entries {
-		if now.Sub(entry.requested) > recentFunctionTTL {
+		if entry.requested.Before(since) {
 			delete(r.entries, id)
 		}
 	}
 }
 
+// medianTime returns the time since which about half of the functions were requested.
+func (r *recentFunctions) medianTime() time.Time {
+	times := make([]time.Time, 0, len(r.entries))
+	for _, entry := range r.entries {
+		times = append(times, entry.requested)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times[len(times)/2]
+}
+
 // inFlightLoad is a load order for which Workers.Load has not returned yet.
 type inFlightLoad struct {
 	writePermission
--- a/loadorderlimiter_test.go
+++ b/loadorderlimiter_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"oakthread/balancer"
 	"oakthread/rules"
 )
 
@@ -61,3 +62,17 @@
 		assert.Empty(t, workers.orders)
 	})
 }
+
+// Guards against memory that grows with functions that nobody has called before: the functions
+// requested least recently are forgotten.
+func TestRecentFunctionsAreBounded(t *testing.T) {
+	const limit = 100
+	recent := recentFunctions{entries: map[balancer.FuncID]recentFunction{}, limit: limit}
+	now := time.Unix(1000, 0)
+	for i := range 10_000 {
+		now = now.Add(time.Microsecond)
+		recent.add(balancer.FuncID(i), "key", now)
+		require.LessOrEqual(t, len(recent.entries), limit)
+		require.Contains(t, recent.entries, balancer.FuncID(i))
+	}
+}
