--- a/internal/platform/requestlimits_test.go
+++ b/internal/platform/requestlimits_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -113,3 +114,20 @@
 	require.Eventually(s.t, func() bool { return s.held() >= bytes-2*ingress.FreeBytes },
 		10*time.Second, time.Millisecond)
 }
+
+// A body is read whole, whatever its pieces, and its buffer is no larger than its length.
+func TestReadRequestBody(t *testing.T) {
+	for _, length := range []int{0, 1, minBodyBuffer, minBodyBuffer + 1, maxRequestBytes} {
+		text := strings.Repeat("x", length)
+		for _, reader := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+			body, err := readRequestBody(reader, int64(length))
+			require.NoError(t, err)
+			assert.Equal(t, text, string(body))
+			assert.Equal(t, length, cap(body))
+		}
+		if length > 0 {
+			_, err := readRequestBody(strings.NewReader(text[1:]), int64(length))
+			assert.Error(t, err, "a body that is cut off")
+		}
+	}
+}
