A refused connection closes without keeping its caller, and bytes read ahead stay counted

Close of a refused connection read and discarded for up to 0.25 s in its caller, which at the end of a drain closes all connections one after the other, and it read a field that the serving goroutine writes. When the request in flight is read was taken from the tracker beside the reader of the connection. Bytes read ahead were no longer counted once the request in front of them was answered. A paced request could wait for up to 2 s in a drain.

Change: Close starts a goroutine that ends after 0.25 s; the time of reading is copied under the limiter's lock; bytes read ahead are counted until net/http has them; a wait in a drain is 50 ms at the most.

No failing run of the program before is shown for these; a test for each is not written.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -34,7 +34,8 @@
 	// nextPipelined states that bytes of the next request had arrived before the latest answer was
 	// written. Only the goroutine that serves the connection uses it.
 	nextPipelined bool
-	refused       error // ends all reads, since a request was refused; used by the same goroutine
+	refused       error       // ends all reads, since a request was refused; used by the same goroutine
+	lingers       atomic.Bool // Close lets the client read the answer to a refused request
 
 	mu             sync.Mutex
 	deadline       time.Time // the read deadline that was set last
@@ -85,7 +86,7 @@
 	}
 	n, err = c.ahead.take(b)
 	if errors.Is(err, errReadAheadOverflow) {
-		c.refused = err
+		_ = c.refuse(err)
 	}
 	return n, true, err
 }
@@ -201,11 +202,21 @@
 }
 
 // Close closes the connection and then removes it from the limiter. In this order there are never
-// more open connections than the limit.
+// more open connections than the limit. After a refusal it returns at once, and the connection is
+// closed in a goroutine that ends after lingerTimeout; a second Close ends that.
 func (c *clientConn) Close() error {
-	if c.refused != nil {
-		c.discardUnread()
+	if c.lingers.Swap(false) {
+		go func() {
+			c.discardUnread()
+			_ = c.closeNow()
+		}()
+		return nil
 	}
+	return c.closeNow()
+}
+
+// closeNow closes the connection and removes it from the limiter.
+func (c *clientConn) closeNow() error {
 	err := c.Conn.Close()
 	c.limiter.remove(c)
 	return err
--- a/internal/platform/connactivity.go
+++ b/internal/platform/connactivity.go
@@ -29,6 +29,8 @@
 	holding         ingress.Holding
 	refusal         ingress.Refusal // why the unfinished request is to be refused
 	exceedsMemory   bool            // the bytes read last did not fit into the memory of requests
+	aheadBytes      int64           // read ahead, and not yet by net/http
+	requestReadAt   time.Time       // when the request in flight was read; zero: it is not complete
 }
 
 // weightedIdleTime returns how long the connection has been idle, multiplied by unusedConnWeight if
@@ -62,11 +64,11 @@
 	return conn.pipelined
 }
 
-// readAt returns when the request in flight on a connection was read, false if it is not complete.
-func (l *connLimiter) readAt(conn *clientConn) (time.Time, bool) {
+// readAt returns when the request in flight on a connection was read, zero if it is not complete.
+func (l *connLimiter) readAt(conn *clientConn) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return conn.tracker.readAt()
+	return conn.requestReadAt
 }
 
 // beginRead records that a read begins: until endRead, bytes may have left the kernel uncounted.
@@ -89,7 +91,9 @@
 	}
 	_ = conn.cancelClose()
 	conn.lastActivity, conn.partlyRead, conn.pipelined = time.Now(), true, conn.tracker.hasPipelined()
+	conn.requestReadAt = conn.tracker.readAt()
 	if counted {
+		conn.aheadBytes = max(conn.aheadBytes-int64(bytes), 0)
 		bytes = 0
 	}
 	l.countBytes(conn, bytes)
@@ -132,6 +136,7 @@
 func (l *connLimiter) endRequest(conn *clientConn) {
 	conn.reused, conn.requestInFlight, conn.cancelRequest = true, false, nil
 	conn.tracker.answer()
+	conn.requestReadAt = conn.tracker.readAt()
 	conn.partlyRead = conn.tracker.hasUnanswered()
 	conn.pipelined = conn.tracker.hasPipelined()
 	l.releaseAnswered(conn)
--- a/internal/platform/pacing.go
+++ b/internal/platform/pacing.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// maxDrainWait limits the wait of a request in a drain, in which it must be answered before the
+// earliest SIGKILL.
+const maxDrainWait = 50 * time.Millisecond
+
 // awaitTurn waits until the pacer lets the request that has just been read be handled, or until ctx
 // ends.
 func (c *clientConn) awaitTurn(ctx context.Context) {
@@ -25,7 +29,11 @@
 func (l *connLimiter) nextTurn(conn *clientConn) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pacer.Next(time.Now(), &conn.flow, conn.nextPipelined)
+	wait := l.pacer.Next(time.Now(), &conn.flow, conn.nextPipelined)
+	if l.stopping {
+		return min(wait, maxDrainWait)
+	}
+	return wait
 }
 
 // noteIfPipelined records, before the answer is sent, whether bytes of the next request have arrived.
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -47,7 +47,7 @@
 	}
 	arrived := now.Add(-lastDataAge(conn.Conn))
 	// Later bytes may belong to a request behind this one.
-	if readAt, ok := conn.limiter.readAt(conn); ok && readAt.Before(arrived) {
+	if readAt := conn.limiter.readAt(conn); !readAt.IsZero() && readAt.Before(arrived) {
 		return readAt
 	}
 	return arrived
--- a/internal/platform/requestlimits.go
+++ b/internal/platform/requestlimits.go
@@ -38,6 +38,7 @@
 func (l *connLimiter) countReadAhead(conn *clientConn, bytes int) (fits bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	conn.aheadBytes += int64(bytes)
 	return l.memory.Set(&conn.holding, conn.holding.Bytes()+int64(bytes))
 }
 
@@ -61,11 +62,11 @@
 // releaseAnswered releases what an answered request held, except for what may have been read of the
 // next one. The caller holds mu.
 func (l *connLimiter) releaseAnswered(conn *clientConn) {
-	held := int64(0)
+	held := conn.aheadBytes
 	if conn.partlyRead {
-		held = min(conn.holding.Bytes(), bufferedBytes)
+		held += bufferedBytes
 	}
-	l.memory.Set(&conn.holding, held)
+	l.memory.Set(&conn.holding, min(conn.holding.Bytes(), held))
 }
 
 // refuseSlowest has the request refused that has been arriving for longest, and releases what it
@@ -139,12 +140,17 @@
 	}
 	c.limiter.noteRefusal(c, reason)
 	if c.tracker.framer.inBody {
-		c.refused = requestRefusedError{reason}
-		return c.refused
+		return c.refuse(requestRefusedError{reason})
 	}
-	c.refused = errHeadRefused
 	_, _ = io.WriteString(c, refusalResponses[reason])
-	return c.refused
+	return c.refuse(errHeadRefused)
+}
+
+// refuse ends all reads of the connection with err, which it returns.
+func (c *clientConn) refuse(err error) error {
+	c.refused = err
+	c.lingers.Store(true)
+	return err
 }
 
 // errHeadRefused is a timeout to net/http, which then writes no response of its own.
--- a/internal/platform/requesttracker.go
+++ b/internal/platform/requesttracker.go
@@ -34,12 +34,12 @@
 	}
 }
 
-// readAt returns when the request in flight was read, false if it is not complete.
-func (t *requestTracker) readAt() (time.Time, bool) {
+// readAt returns when the request in flight was read, zero if it is not complete.
+func (t *requestTracker) readAt() time.Time {
 	if len(t.unansweredSince) == 0 {
-		return time.Time{}, false
+		return time.Time{}
 	}
-	return t.unansweredSince[0], true
+	return t.unansweredSince[0]
 }
 
 // isUnfinished reports whether the next request to be answered has begun to arrive and is not
