Reading ahead ends at 8 KB without ending the connection, and the rest denies the write

Cause: since a client that sent over 32 KB behind a request in flight had its request cancelled and its connection closed; flooding clients connected again at once and escaped their pace.

Change: the read-ahead stops at 8 KB, counted, and nothing is cancelled; what the kernel holds beyond denies writes for the request in flight, as before.

Tests of platform pass under the race detector.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -85,9 +85,6 @@
 		return n, false, err
 	}
 	n, err = c.ahead.take(b)
-	if errors.Is(err, errReadAheadOverflow) {
-		_ = c.refuse(err)
-	}
 	return n, true, err
 }
 
--- a/internal/platform/readahead.go
+++ b/internal/platform/readahead.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxReadAheadBytes limits the bytes read after a request in flight. A head and a body fit.
-	maxReadAheadBytes = 32 << 10
+	// maxReadAheadBytes limits the bytes read after a request in flight.
+	maxReadAheadBytes = hiddenCloseBytes
 	// readAheadChunkBytes is the buffer size of one read.
 	readAheadChunkBytes = 1 << 10
 )
@@ -23,10 +23,6 @@
 	done   chan struct{} // closed when the read-ahead has ended; nil: none is running
 }
 
-// errReadAheadOverflow ends a connection whose client has sent more than maxReadAheadBytes behind a
-// request in flight. The protocol has one request at a time on a connection.
-var errReadAheadOverflow = errors.New("too many bytes behind a request in flight")
-
 // isEmpty reports whether there are neither bytes nor an error to return.
 func (a *readAhead) isEmpty() bool { return a.buffer.Len() == 0 && a.err == nil }
 
@@ -67,22 +63,23 @@
 	return c.restoreDeadline()
 }
 
-// readAheadUntilError reads ahead until an error, which it returns: the client has disconnected, or
-// has sent more than is read ahead. Then a close may be hidden behind what the kernel does not
-// accept from the client, so the client counts as gone. An interrupted read returns nil.
+// readAheadUntilError reads ahead until an error, which it returns: the client has disconnected. It
+// returns nil when it is interrupted or enough has been read. What the kernel then holds denies a
+// write for the request in flight (clientMayHaveLeft).
 func (c *clientConn) readAheadUntilError() error {
 	chunk := make([]byte, readAheadChunkBytes)
-	for {
+	for c.ahead.buffer.Len() < maxReadAheadBytes {
 		n, err := neterr.Read(c.Conn, chunk)
 		c.ahead.buffer.Write(chunk[:n])
+		fits := c.limiter.countReadAhead(c, n)
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		case err != nil:
 			return err
-		case !c.limiter.countReadAhead(c, n) || c.ahead.buffer.Len() > maxReadAheadBytes:
-			c.ahead.buffer.Reset()
-			return errReadAheadOverflow
+		case !fits:
+			return nil
 		}
 	}
+	return nil
 }
