The share of usual calls that the crowd tests ask for is 0.9 again, as they landed

Cause: lowered it to 0.5, which no test needed but the one that is listed as red; that was a check made weaker.

--- a/cmd/dispatcher/abuserig_test.go
+++ b/cmd/dispatcher/abuserig_test.go
@@ -35,9 +35,8 @@
 	workTime = 15 * time.Millisecond
 	// lostAfter is how late an answer may be before its call counts as lost.
 	lostAfter = 500 * time.Millisecond
-	// minServedRatio is the share of the usual calls that is served beside other clients, as the
-	// operators' gate asks for.
-	minServedRatio = 0.5
+	// minServedRatio is the share of the usual calls that is served, whatever other clients do.
+	minServedRatio = 0.9
 )
 
 // abuseRig is a dispatcher with little memory, one worker, clients that keep to the protocol, and
