Names and comments of the pacing, the request memory and the claims in the usual terms

Cause: three files read as by somebody new to them: Memory.Set promised what Fits reports, the Pacer's comment had to be read twice, ServeHTTP did not say that it delays, "turn" and "kept" were words of our own.

No behaviour, number or assertion.

--- a/balancer/functionlimit.go
+++ b/balancer/functionlimit.go
@@ -19,7 +19,7 @@
 
 // evictFunctions removes the functions that were called least recently, first those that no worker
 // has served: a client can name any number of these. Functions with a pending request, an attempt or
-// a load order in flight are kept.
+// a load order in flight are not removed.
 func (b *Balancer) evictFunctions() {
 	inUse := map[*functionState]bool{}
 	for _, request := range b.requests {
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -19,7 +19,7 @@
 	sweptAt       int64
 }
 
-// minSweptEntries is the number of timer entries up to which those of ended requests are kept.
+// minSweptEntries is the number of timer entries up to which those of ended requests stay.
 const minSweptEntries = 1 << 13
 
 // sweep removes the entries of requests that have ended, which may be due only much later, if there
@@ -28,13 +28,13 @@
 	if len(q.entries) <= minSweptEntries {
 		return
 	}
-	kept := make(timerHeap, 0, minSweptEntries)
+	pending := make(timerHeap, 0, minSweptEntries)
 	for _, entry := range q.entries {
 		if entry.request == nil || !entry.request.done {
-			kept.push(entry)
+			pending.push(entry)
 		}
 	}
-	q.entries = kept
+	q.entries = pending
 }
 
 // rearm returns the delay, in nanoseconds, for a new host timer. It returns changed as false if
--- a/ingress/memory.go
+++ b/ingress/memory.go
@@ -29,9 +29,9 @@
 // Bytes returns the number of bytes that the requests of the connection hold.
 func (h *Holding) Bytes() int64 { return h.bytes }
 
-// Set records that the requests of a connection hold a number of bytes. It reports whether all
-// requests together hold no more than the limit; the caller then refuses the request that
-// SlowerThan prefers, until they do.
+// Set records that the requests of a connection hold a number of bytes. It returns false if that is
+// more than before and all requests together exceed the limit. The caller then refuses unfinished
+// requests, those that SlowerThan puts first, until Fits reports true.
 func (m *Memory) Set(holding *Holding, bytes int64) (fits bool) {
 	counted := max(bytes-FreeBytes, 0)
 	grown := counted - holding.counted
@@ -47,6 +47,6 @@
 func (h *Holding) IsEvictable() bool { return !h.Began.IsZero() && h.counted > 0 }
 
 // SlowerThan reports whether the unfinished request of a connection is refused before that of
-// another one: it has been arriving for longer. A client that keeps to the protocol sends its
-// request at once.
+// another one: it has been arriving for longer. Clients usually send a request in one
+// write.
 func (h *Holding) SlowerThan(other *Holding) bool { return h.Began.Before(other.Began) }
--- a/ingress/pacer.go
+++ b/ingress/pacer.go
@@ -24,9 +24,9 @@
 	activityWindow = time.Second
 )
 
-// Pacer spreads the requests of connections that send at full speed, so that the processor is free
-// for the other ones in between. Without it a connection whose next request is always there keeps a
-// thread until the scheduler takes it away, at every step of every other request.
+// Pacer limits the rate of requests of each connection with a token bucket. Without it, a connection
+// that always has another request to read occupies a thread until the scheduler preempts it, and
+// delays every other request at each of its goroutines.
 type Pacer struct {
 	began    time.Time // when the first activityWindow began
 	window   int64     // number of the current activityWindow
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// lifetime is how long a claim is kept.
+	// lifetime is the time after which a claim expires.
 	lifetime = 5 * time.Minute
 	// slotCount is the number of claims that a table holds; a power of two.
 	slotCount = 1 << 15
@@ -25,8 +25,8 @@
 	wordsPerSlot = 2
 )
 
-// locker is held while the table is changed. Lock returns an error if another process keeps
-// the lock for too long.
+// locker is held while the table is changed. Lock returns an error if another process
+// holds the lock for too long.
 type locker interface {
 	Lock() error
 	Unlock()
--- a/internal/platform/connlimiter.go
+++ b/internal/platform/connlimiter.go
@@ -36,7 +36,7 @@
 	accepts   ingress.Accepts
 
 	refusals [ingress.RefusalReasons]atomic.Int64 // requests refused before they were complete, by reason
-	paced    atomic.Int64                         // requests that waited for their connection's turn
+	paced    atomic.Int64                         // requests that the pacer delayed
 }
 
 // newConnLimiter returns a limiter of the connections that ln accepts. Their requests may hold
--- a/internal/platform/pacing.go
+++ b/internal/platform/pacing.go
@@ -9,10 +9,10 @@
 // earliest SIGKILL.
 const maxDrainWait = 50 * time.Millisecond
 
-// awaitTurn waits until the pacer lets the request that has just been read be handled, or until ctx
+// pace waits until the pacer lets the request that has just been read be handled, or until ctx
 // ends.
-func (c *clientConn) awaitTurn(ctx context.Context) {
-	wait := c.limiter.nextTurn(c)
+func (c *clientConn) pace(ctx context.Context) {
+	wait := c.limiter.requestDelay(c)
 	if wait <= 0 {
 		return
 	}
@@ -25,8 +25,8 @@
 	}
 }
 
-// nextTurn returns how long the request that has just been read on a connection waits.
-func (l *connLimiter) nextTurn(conn *clientConn) time.Duration {
+// requestDelay returns how long the request that has just been read on a connection waits.
+func (l *connLimiter) requestDelay(conn *clientConn) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wait := l.pacer.Next(time.Now(), &conn.flow, conn.nextPipelined)
@@ -41,7 +41,7 @@
 
 // paceAccept waits until the next connection may be accepted, or until stopAccepting.
 func (l *connLimiter) paceAccept() {
-	wait := l.nextAccept()
+	wait := l.acceptDelay()
 	if wait <= 0 {
 		return
 	}
@@ -53,8 +53,8 @@
 	}
 }
 
-// nextAccept returns how long to wait before the next connection is accepted.
-func (l *connLimiter) nextAccept() time.Duration {
+// acceptDelay returns how long to wait before the next connection is accepted.
+func (l *connLimiter) acceptDelay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopping {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -111,7 +111,8 @@
 	}
 }
 
-// ServeHTTP rejects requests with contradictory lengths and passes all others to their handler.
+// ServeHTTP rejects requests with contradictory lengths and passes all others to their handler, after
+// a delay if their connection sends too fast.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := clientConnFrom(r.Context())
 	if conn != nil {
@@ -119,7 +120,7 @@
 		defer cancelRequest()
 		conn.limiter.setCancel(conn, cancelRequest)
 		r = r.WithContext(ctx)
-		conn.awaitTurn(ctx)
+		conn.pace(ctx)
 		defer conn.noteIfPipelined()
 	}
 	if conn != nil && conn.ambiguous.Load() {
