Tests for the three faults that mended without one

Cause: changed the close of refused connections, the count of bytes read ahead and the wait in a drain, and said that no test was written.

Change: a test for each.

--- a/internal/platform/requestlimits_test.go
+++ b/internal/platform/requestlimits_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -130,3 +131,56 @@
 		}
 	}
 }
+
+// Guards against memory that is not counted: bytes that were read ahead still count
+// once the request in front of them is answered.
+func TestBytesReadAheadStayCounted(t *testing.T) {
+	const ahead = 6 << 10
+	arrived, release := make(chan bool), make(chan bool)
+	s := newTestbed(t, testbedOptions{}, newRecordingExecutor(t, func(http.ResponseWriter, *http.Request) {
+		arrived <- true
+		<-release
+	}))
+	client := s.send(firstID, "path-check")
+	<-arrived
+	s.write(client, "GET /ping HTTP/1.1\r\nHost: x\r\nA: "+strings.Repeat("a", ahead))
+	s.awaitHeld(ahead)
+	close(release)
+	require.Equal(t, http.StatusOK, s.readStatus(client))
+	assert.GreaterOrEqual(t, s.held(), int64(ahead-2*ingress.FreeBytes))
+	require.NoError(t, client.Close())
+	s.close()
+	assert.Zero(t, s.held(), "held after the connection has ended")
+}
+
+// Guards against a shutdown that waits for refused clients one after the other: Close returns at
+// once, and the connection ends although its client does nothing.
+func TestCloseOfRefusedConnectionDoesNotWait(t *testing.T) {
+	limiter := newTestLimiter(t, 1)
+	conn, client := acceptPair(t, limiter)
+	conn.lingers.Store(true)
+	require.NoError(t, conn.Close())
+	limiter.mu.Lock()
+	_, open := limiter.conns[conn]
+	limiter.mu.Unlock()
+	assert.True(t, open, "closed before its client could read the answer")
+	_, err := client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "the sending side is closed")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.True(t, limiter.waitUntilEmpty(ctx))
+}
+
+// A request is delayed only briefly in a drain, in which it must be answered before the process may
+// be killed.
+func TestRequestsAreDelayedBrieflyInADrain(t *testing.T) {
+	limiter := newTestLimiter(t, 1)
+	conn, _ := acceptPair(t, limiter)
+	conn.nextPipelined = true
+	for limiter.requestDelay(conn) <= maxDrainWait { // beyond the burst
+	}
+	limiter.mu.Lock()
+	limiter.stopping = true
+	limiter.mu.Unlock()
+	assert.LessOrEqual(t, limiter.requestDelay(conn), maxDrainWait)
+}
