A call whose client has closed before it is dispatched opens no connection

Cause: nothing was written for such a call, but it was passed to the core, which began an attempt; the connection for it came up if that was quicker than the read-ahead that notices the close. Clients that leave could so take worker sockets from those that wait.

Change: Server.dispatch asks the kernel for the connection's state first and passes nothing on whose client has closed. The check right before the write stays.

Result: TestNoConnectionIsOpenedForAClientGoneFromTheBacklog is new.

--- a/internal/platform/disconnect_test.go
+++ b/internal/platform/disconnect_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// No connection to an executor is opened for a call whose client had left before it was dispatched:
+// such calls would take the sockets of others.
+func TestNoConnectionIsOpenedForAClientGoneFromTheBacklog(t *testing.T) {
+	for mode, disconnect := range disconnectModes {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			listener := newPausingListener()
+			s := newTestbed(t, testbedOptions{listener: listener.wrap}, newRecordingExecutor(t, nil))
+			require.Equal(t, http.StatusOK, s.call(firstID, "path-check")) // later accepts wait
+			const clients = 20
+			for i := range clients {
+				require.NoError(t, disconnect(s.send(fmt.Sprintf("%016x", 0x100+i), "path-book")))
+			}
+			close(listener.resume)
+			require.Equal(t, http.StatusOK, s.call(secondID, "path-check"))
+			s.close()
+			assert.Equal(t, 1, s.dialCount(), "the connection of the first call serves the last one")
+		})
+	}
+}
+
 // If the close of the connection arrives together with the call, an attempt may begin, but nothing
 // is written for it.
 func TestRequestAndCloseInOneSegment(t *testing.T) {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -199,9 +199,12 @@
 	s.countOutcome(r.Header.Get(classHeader), httpreply.Status(answer, err))
 }
 
-// dispatch passes a call to the core, unless its request does not fit into the memory of requests:
-// then the call is rejected. conn is nil for a connection without a limiter.
+// dispatch passes a call to the core, unless its client has left or its request does not fit into the
+// memory of requests: then the call is rejected. conn is nil for a connection without a limiter.
 func (s *Server) dispatch(ctx context.Context, conn *clientConn, request oakthread.Request) (oakthread.Answer, error) {
+	if conn != nil && clientHasClosed(conn.Conn) {
+		return oakthread.Answer{}, context.Canceled
+	}
 	if conn != nil && conn.limiter.isOverMemory(conn) {
 		conn.limiter.noteRefusal(conn, ingress.MemoryExhausted)
 		return oakthread.Answer{Outcome: oakthread.Rejected, RetryAfter: memoryRetryAfter}, nil
--- a/internal/platform/testbed_test.go
+++ b/internal/platform/testbed_test.go
@@ -94,6 +94,7 @@
 	logLines    logLineWriter
 
 	mu              sync.Mutex
+	dials           int           // connections opened to executors
 	dialsBeforeHold int           // dials to pass before one is held; below 0: none is held
 	heldDial        chan net.Conn // receives the connection that is held
 	releaseDial     chan struct{}
@@ -150,6 +151,7 @@
 		s.mu.Lock()
 		held := s.dialsBeforeHold == 0
 		s.dialsBeforeHold--
+		s.dials++
 		s.mu.Unlock()
 		if held {
 			s.heldDial <- conn
@@ -182,6 +184,13 @@
 	s.dialsBeforeHold = n
 }
 
+// dialCount returns the number of connections to executors that were opened.
+func (s *testbed) dialCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dials
+}
+
 // dial opens a client connection to the server.
 func (s *testbed) dial() *net.TCPConn {
 	s.t.Helper()
