TestStartsWithoutDiscovery asks for readiness once the program says it serves

Cause, in the test: it waited for "starting from cached endpoint list" alone, which a goroutine logs before or after the listener is open. The first start in the same test waits for "serving"; so does the second now, for both lines in either order. A refusal after "serving" fails as before, and the line of the cached list is asked for as before.

A trial that asked for the two lines in a fixed order hung.

--- a/cmd/dispatcher/helpers_test.go
+++ b/cmd/dispatcher/helpers_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -103,6 +104,14 @@
 	}
 }
 
+// awaitAll waits until each of texts was in a line, in any order.
+func (l logLines) awaitAll(texts ...string) {
+	for len(texts) > 0 {
+		line := <-l
+		texts = slices.DeleteFunc(texts, func(text string) bool { return strings.Contains(line, text) })
+	}
+}
+
 // daemon is the program running within the test process.
 type daemon struct {
 	log  logLines
--- a/cmd/dispatcher/startup_test.go
+++ b/cmd/dispatcher/startup_test.go
@@ -129,7 +129,7 @@
 	discovery.Down()
 	dies.Kill()
 	program = startDaemon(t, config, "serve", "--config", options)
-	program.log.await(`msg="starting from cached endpoint list" name=n0 endpoints=2`)
+	program.log.awaitAll("msg=serving", `msg="starting from cached endpoint list" name=n0 endpoints=2`)
 	awaitReady(t, http.DefaultClient, addr)
 	for status := 0; status != 200; { // the recovery ramp may reject the first calls
 		status = uniqueCall(t, addr)
