A call that cannot be written is refused before it takes a worker's place

A call with 8 KB or more unread behind it is not written, as its client may have left; but it was dispatched, held a place at its worker and a connection, and was tried up to three times.

Change: connLimiter.checkDispatch refuses a call (503, no effect) if what is unread behind it stays at 8 KB or more even after all that is read ahead. Counter pipelined_refused, reason in the debug line.

--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -12,6 +12,7 @@
 	Accepted          Refusal = iota
 	TooManyFields             // its head has more than MaxHeadFields fields
 	MemoryExhausted           // the requests of all clients hold too much, and it is the slowest of them
+	TooMuchPipelined          // more bytes have arrived behind it than its connection may hold
 	AnswersNotRead            // its client does not read the answers to earlier requests
 	refusalReasonsEnd         // number of reasons
 )
@@ -28,6 +29,8 @@
 		return "too many header fields"
 	case MemoryExhausted:
 		return "request memory exhausted"
+	case TooMuchPipelined:
+		return "too much pipelined"
 	case AnswersNotRead:
 		return "answers not read"
 	case refusalReasonsEnd:
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -41,6 +41,7 @@
 		"bad", m.server.Malformed(),
 		"heads_refused", m.server.Refused(ingress.TooManyFields),
 		"slow_refused", m.server.Refused(ingress.MemoryExhausted),
+		"pipelined_refused", m.server.Refused(ingress.TooMuchPipelined),
 		"answers_unread", m.server.Refused(ingress.AnswersNotRead),
 		"paced", m.server.Paced(),
 		"checks", counters.Leases.Checks,
--- /dev/null
+++ b/internal/platform/pipelining_test.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"oakthread/ingress"
+)
+
+// newBacklogTestbed returns a testbed with a connection on which text has arrived, and a function
+// that has the server accept it.
+func newBacklogTestbed(t *testing.T, text string) (s *testbed, client net.Conn, accept func()) {
+	t.Helper()
+	listener := newPausingListener()
+	s = newTestbed(t, testbedOptions{listener: listener.wrap}, newRecordingExecutor(t, nil))
+	require.Equal(t, http.StatusOK, s.call(firstID, "path-check")) // later accepts wait
+	client = s.dial()
+	s.write(client, text)
+	return s, client, func() { close(listener.resume) }
+}
+
+// Guards against calls that take a worker's place although they cannot be written, since more is
+// unread behind them than a client that may still be there leaves.
+func TestCallThatCannotBeWrittenIsNotDispatched(t *testing.T) {
+	const behind = 4 * maxReadAheadBytes
+	s, client, accept := newBacklogTestbed(t, callText(secondID, "path-check", "x")+strings.Repeat("x", behind))
+	accept()
+	assert.Equal(t, http.StatusServiceUnavailable, s.readStatus(client))
+	assert.EqualValues(t, 1, s.server.Refused(ingress.TooMuchPipelined))
+	s.close()
+	assert.EqualValues(t, 1, s.core.Counters().Attempts, "attempts, with that of the first call")
+	assert.Equal(t, []string{firstID}, s.executors[0].requests())
+}
+
+// A call is served although the next ones have arrived, if these leave no doubt about its client.
+func TestCallWithLittleBehindItIsServed(t *testing.T) {
+	const behind = maxReadAheadBytes
+	s, client, accept := newBacklogTestbed(t, callText(secondID, "path-check", "x")+strings.Repeat("x", behind))
+	accept()
+	assert.Equal(t, http.StatusOK, s.readStatus(client))
+	s.close()
+}
--- a/internal/platform/requestlimits.go
+++ b/internal/platform/requestlimits.go
@@ -88,12 +88,22 @@
 	return true
 }
 
-// isOverMemory reports whether the complete request on a connection exceeds the memory of requests,
-// although no unfinished request is left to be refused.
-func (l *connLimiter) isOverMemory(conn *clientConn) bool {
+// checkDispatch returns why the complete request on a connection must not be dispatched: it exceeds the
+// memory of requests, although no unfinished request is left to be refused, or so much is unread
+// behind it that it could not be written.
+func (l *connLimiter) checkDispatch(conn *clientConn) ingress.Refusal {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return conn.exceedsMemory && !l.memory.Fits()
+	exceedsMemory := conn.exceedsMemory && !l.memory.Fits()
+	// Asked before the kernel is: what is read ahead meanwhile must not count twice.
+	readAheadRoom := max(maxReadAheadBytes-int(conn.aheadBytes), 0)
+	l.mu.Unlock()
+	switch {
+	case exceedsMemory:
+		return ingress.MemoryExhausted
+	case unreadBytes(conn.Conn) >= hiddenCloseBytes+readAheadRoom:
+		return ingress.TooMuchPipelined
+	}
+	return ingress.Accepted
 }
 
 // takeRefusal returns why the unfinished request of a connection is refused, and forgets the reason
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -22,9 +22,8 @@
 // is of no more use than none.
 const maxResponseDelay = 500 * time.Millisecond
 
-// memoryRetryAfter is the retry delay of a call that is rejected because requests hold too much
-// memory.
-const memoryRetryAfter = time.Second
+// refusalRetryAfter is the retry delay of a call that is rejected before it is dispatched.
+const refusalRetryAfter = time.Second
 
 // errAmbiguousLengths rejects a request whose end other parsers may see elsewhere.
 var errAmbiguousLengths = errors.New("the lengths of a request on this connection contradict each other")
@@ -199,15 +198,18 @@
 	s.countOutcome(r.Header.Get(classHeader), httpreply.Status(answer, err))
 }
 
-// dispatch passes a call to the core, unless its client has left or its request does not fit into the
-// memory of requests: then the call is rejected. conn is nil for a connection without a limiter.
+// dispatch passes a call to the core, unless its client has left or the state of the connection rules
+// it out: then the call is rejected. conn is nil for a connection without a limiter.
 func (s *Server) dispatch(ctx context.Context, conn *clientConn, request oakthread.Request) (oakthread.Answer, error) {
-	if conn != nil && clientHasClosed(conn.Conn) {
+	if conn == nil {
+		return s.core.Do(ctx, request)
+	}
+	if clientHasClosed(conn.Conn) {
 		return oakthread.Answer{}, context.Canceled
 	}
-	if conn != nil && conn.limiter.isOverMemory(conn) {
-		conn.limiter.noteRefusal(conn, ingress.MemoryExhausted)
-		return oakthread.Answer{Outcome: oakthread.Rejected, RetryAfter: memoryRetryAfter}, nil
+	if refusal := conn.limiter.checkDispatch(conn); refusal != ingress.Accepted {
+		conn.limiter.noteRefusal(conn, refusal)
+		return oakthread.Answer{Outcome: oakthread.Rejected, RetryAfter: refusalRetryAfter}, nil
 	}
 	return s.core.Do(ctx, request)
 }
