Requests count as pipelined while their bytes are still unread

Cause: whether a connection pipelines was known from what net/http had read. Bodies of over 4 KB are read exactly, so the next call was still in the kernel or read ahead when the one in front was answered, and got the rate of clients that send in turn: 2,000 a second for all connections, not 200.

Change: connLimiter.hasBytesBehind also looks at the bytes read ahead and at the kernel's. A client that waits for its answers has none there.

--- a/internal/platform/connactivity.go
+++ b/internal/platform/connactivity.go
@@ -57,13 +57,21 @@
 	conn.cancelRequest = cancelRequest
 }
 
-// isPipelined reports whether bytes have arrived after the request in flight.
+// isPipelined reports whether net/http has read bytes after the request in flight.
 func (l *connLimiter) isPipelined(conn *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return conn.pipelined
 }
 
+// hasBytesBehind reports whether bytes have arrived after the request in flight, read or not.
+func (l *connLimiter) hasBytesBehind(conn *clientConn) bool {
+	l.mu.Lock()
+	read := conn.pipelined || conn.aheadBytes > 0
+	l.mu.Unlock()
+	return read || hasUnread(conn.Conn)
+}
+
 // readAt returns when the request in flight on a connection was read, zero if it is not complete.
 func (l *connLimiter) readAt(conn *clientConn) time.Time {
 	l.mu.Lock()
--- a/internal/platform/pacing.go
+++ b/internal/platform/pacing.go
@@ -37,7 +37,7 @@
 }
 
 // noteIfPipelined records, before the answer is sent, whether bytes of the next request have arrived.
-func (c *clientConn) noteIfPipelined() { c.nextPipelined = c.limiter.isPipelined(c) }
+func (c *clientConn) noteIfPipelined() { c.nextPipelined = c.limiter.hasBytesBehind(c) }
 
 // paceAccept waits until the next connection may be accepted, or until stopAccepting.
 func (l *connLimiter) paceAccept() {
--- a/internal/platform/pipelining_test.go
+++ b/internal/platform/pipelining_test.go
@@ -1,6 +1,9 @@
 package platform
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +15,15 @@
 	"oakthread/ingress"
 )
 
+// callTexts returns calls in a row whose bodies have a number of bytes.
+func callTexts(count, bytes int) string {
+	var texts strings.Builder
+	for i := range count {
+		texts.WriteString(callText(fmt.Sprintf("%016x", 0x100+i), "path-check", strings.Repeat("x", bytes)))
+	}
+	return texts.String()
+}
+
 // newBacklogTestbed returns a testbed with a connection on which text has arrived, and a function
 // that has the server accept it.
 func newBacklogTestbed(t *testing.T, text string) (s *testbed, client net.Conn, accept func()) {
@@ -45,3 +57,20 @@
 	assert.Equal(t, http.StatusOK, s.readStatus(client))
 	s.close()
 }
+
+// Guards against pipelined requests that have the higher rate of others because the next one has
+// not been read when the one in front of it is answered.
+func TestUnreadRequestsCountAsPipelined(t *testing.T) {
+	s, client, accept := newBacklogTestbed(t, callTexts(6, maxRequestBytes))
+	accept()
+	answers := bufio.NewReader(client)
+	for range 6 {
+		answer, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		answer.Body.Close()
+	}
+	assert.Positive(t, s.server.Paced())
+	s.close()
+}
