Pipelined requests of all connections share one burst

Cause, of the incident's class (a limit for each connection and none for all of them): each connection had a burst of its own, so 300 that open at once had 1,712 pipelined requests handled in their first second.

Change: ingress.Pacer also takes each pipelined request from a bucket of all connections: 50 at once, 200 a second, and no wait above 2 s. The three token buckets of the package are one type now.

Result: TestPipelinedBurstIsShared (550 at the most) fails on the code before with those 1,712.

--- a/ingress/accepts.go
+++ b/ingress/accepts.go
@@ -11,20 +11,12 @@
 
 // Accepts spreads the accepting of connections, so that clients that connect again and again leave
 // the processor to the requests of others.
-type Accepts struct {
-	tokens float64
-	last   time.Time
-}
+type Accepts struct{ bucket }
 
 // NewAccepts returns the state of a listener that is opened now.
-func NewAccepts(now time.Time) Accepts { return Accepts{tokens: acceptBurst, last: now} }
+func NewAccepts(now time.Time) Accepts { return Accepts{bucket{tokens: acceptBurst, last: now}} }
 
 // Next returns how long to wait before the next connection is accepted.
 func (a *Accepts) Next(now time.Time) (wait time.Duration) {
-	a.tokens = min(acceptBurst, a.tokens+acceptRate*now.Sub(a.last).Seconds()) - 1
-	a.last = now
-	if a.tokens >= 0 {
-		return 0
-	}
-	return time.Duration(-a.tokens / acceptRate * float64(time.Second))
+	return a.take(now, acceptRate, acceptBurst, 1)
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// Hundreds of connections that begin to pipeline at once share one burst.
+func TestPipelinedBurstIsShared(t *testing.T) {
+	const connections = 300
+	handled := handledIn(connections, true, time.Second)
+	assert.LessOrEqual(t, handled, connections+sharedPipelinedBurst+sharedPipelinedRate)
+}
+
+// A pipelined request waits for a bounded time, however many have been sent on connections that were
+// closed since.
+func TestPipelinedWaitIsBounded(t *testing.T) {
+	pacer := NewPacer(start)
+	for range 10_000 {
+		flow := NewFlow(start)
+		pacer.Next(start, &flow, true)
+	}
+	flow := NewFlow(start)
+	assert.Equal(t, maxPipelinedWait, pacer.Next(start, &flow, true))
+	later, flow := start.Add(maxPipelinedWait+time.Second), NewFlow(start)
+	assert.Zero(t, pacer.Next(later, &flow, true), "the wait ends once nothing is sent")
+}
+
 // A connection that sends no faster than clients usually do never waits, whatever others do.
 func TestPacerLetsUsualConnectionsPass(t *testing.T) {
 	pacer := NewPacer(start)
--- a/ingress/pacer.go
+++ b/ingress/pacer.go
@@ -19,12 +19,17 @@
 	minPipelinedRate    = 0.5
 	sharedPipelinedRate = 200
 	pipelinedCost       = 4
+	// sharedPipelinedBurst is the number of such requests that all connections together may send
+	// without a pause, and maxPipelinedWait limits the wait for their shared rate.
+	sharedPipelinedBurst = 50
+	maxPipelinedWait     = 2 * time.Second
 
 	// activityWindow is how long a connection that had to wait counts as one that does.
 	activityWindow = time.Second
 )
 
-// Pacer limits the rate of requests of each connection with a token bucket. Without it, a connection
+// Pacer limits the rate of requests of each connection, and of pipelined ones of all connections
+// together, with token buckets. Without it, a connection
 // that always has another request to read occupies a thread until the scheduler preempts it, and
 // delays every other request at each of its goroutines.
 type Pacer struct {
@@ -32,43 +37,59 @@
 	window   int64     // number of the current activityWindow
 	waiting  int       // connections that had to wait in the current window
 	previous int       // the same in the window before
+
+	pipelined bucket // of all connections
 }
 
 // Flow is the state of one connection.
 type Flow struct {
-	tokens float64
-	last   time.Time // of the latest request
-	window int64     // in which the connection had to wait last
+	bucket
+
+	window int64 // in which the connection had to wait last
 }
 
 // NewPacer returns a Pacer whose first window begins now.
-func NewPacer(now time.Time) Pacer { return Pacer{began: now, window: 1} }
+func NewPacer(now time.Time) Pacer {
+	return Pacer{began: now, window: 1, pipelined: bucket{tokens: sharedPipelinedBurst, last: now}}
+}
 
 // NewFlow returns the state of a connection that is opened now.
-func NewFlow(now time.Time) Flow { return Flow{tokens: burst, last: now} }
+func NewFlow(now time.Time) Flow { return Flow{bucket: bucket{tokens: burst, last: now}} }
 
 // Next returns how long the next request of a connection waits before it is handled. pipelined
 // means that it arrived before the request in front of it was answered.
 func (p *Pacer) Next(now time.Time, flow *Flow, pipelined bool) (wait time.Duration) {
 	sharing := p.sharing(now)
-	rate, cost := min(max(sharedRate/sharing, minRate), maxRate), 1.0
 	if pipelined {
-		rate = min(max(sharedPipelinedRate/sharing, minPipelinedRate), maxPipelinedRate)
+		wait = max(p.pipelinedWait(now, flow, sharing), p.sharedPipelinedWait(now))
+	} else {
+		wait = flow.take(now, min(max(sharedRate/sharing, minRate), maxRate), burst, 1)
 	}
-	flow.tokens = min(burst, flow.tokens+rate*now.Sub(flow.last).Seconds())
-	if pipelined && flow.tokens > pipelinedCost {
-		cost = pipelinedCost
-	}
-	flow.tokens -= cost
-	flow.last = now
-	if flow.tokens >= 0 {
-		return 0
-	}
-	if flow.window != p.window {
+	if wait > 0 && flow.window != p.window {
 		flow.window = p.window
 		p.waiting++
 	}
-	return time.Duration(-flow.tokens / rate * float64(time.Second))
+	return wait
+}
+
+// pipelinedWait returns how long a pipelined request waits for the rate of its own connection.
+func (p *Pacer) pipelinedWait(now time.Time, flow *Flow, sharing float64) time.Duration {
+	rate := min(max(sharedPipelinedRate/sharing, minPipelinedRate), maxPipelinedRate)
+	flow.refill(now, rate, burst)
+	if flow.tokens > pipelinedCost {
+		return flow.take(now, rate, burst, pipelinedCost)
+	}
+	return flow.take(now, rate, burst, 1)
+}
+
+// sharedPipelinedWait returns how long a pipelined request waits for the rate of all of them.
+func (p *Pacer) sharedPipelinedWait(now time.Time) time.Duration {
+	wait := p.pipelined.take(now, sharedPipelinedRate, sharedPipelinedBurst, 1)
+	if wait > maxPipelinedWait { // requests of connections that have closed since are not waited for
+		p.pipelined.tokens = -sharedPipelinedRate * maxPipelinedWait.Seconds()
+		return maxPipelinedWait
+	}
+	return wait
 }
 
 // sharing returns the number of connections at their limit, at least 1.
