The webhook front answers its backlog and new connections at a shutdown

Causes, both in http.Server.Shutdown: it closes the listener, and the kernel resets what waits in the backlog; and net/http drops a request that it reads once the shutdown has begun (conn.serve asks shuttingDown after readRequest), so a connection accepted a moment before got EOF.

Change: the listener of the clients' port that empties the backlog is now neterr.Listener (StopAccepting), used by both fronts; the webhook front turns keep-alives off and waits for its connections, and does not call Shutdown.

HTTP/2 still ends by Shutdown.

--- a/internal/neterr/neterr_test.go
+++ b/internal/neterr/neterr_test.go
@@ -97,6 +97,31 @@
 	require.ErrorIs(t, <-ended, net.ErrClosed)
 }
 
+// TestStopAcceptingEmptiesTheBacklog checks that connections in the kernel's backlog are accepted after
+// StopAccepting, and none after them.
+func TestStopAcceptingEmptiesTheBacklog(t *testing.T) {
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := NewListener(in, slog.New(slog.DiscardHandler))
+	const backlog = 5
+	for range backlog {
+		out, err := net.Dial("tcp", in.Addr().String())
+		require.NoError(t, err)
+		defer out.Close()
+	}
+	require.NoError(t, l.StopAccepting())
+	for range backlog {
+		conn, err := l.Accept()
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+	}
+	_, err = l.Accept()
+	require.ErrorIs(t, err, ErrAcceptStopped)
+	_, err = net.Dial("tcp", in.Addr().String())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	assert.Zero(t, l.Failed())
+}
+
 // TestCloseEndsWaitingAccept checks that Close ends an Accept that is waiting for its next retry.
 func TestCloseEndsWaitingAccept(t *testing.T) {
 	in, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/platform/connlimiter.go
+++ b/internal/platform/connlimiter.go
@@ -19,12 +19,9 @@
 // arrive is never closed; if that holds for all of them, new connections wait, most of them in the
 // kernel's backlog.
 type connLimiter struct {
-	net.Listener
-	max            int
-	log            *slog.Logger
-	logLimit       neterr.LogLimit
-	acceptFailures atomic.Int64  // accepts that failed and were retried
-	stopped        chan struct{} // closed by stopAccepting
+	*neterr.Listener
+	max int
+	log *slog.Logger
 
 	mu        sync.Mutex
 	changed   *sync.Cond // signalled when a connection is closed or its activity changes
@@ -44,7 +41,7 @@
 func newConnLimiter(ln net.Listener, maxConns int, requestMemory int64, log *slog.Logger) *connLimiter {
 	now := time.Now()
 	l := &connLimiter{
-		Listener: ln, max: maxConns, log: log, stopped: make(chan struct{}), conns: map[*clientConn]struct{}{},
+		Listener: neterr.NewListener(ln, log), max: maxConns, log: log, conns: map[*clientConn]struct{}{},
 		memory: ingress.NewMemory(requestMemory), pacer: ingress.NewPacer(now), accepts: ingress.NewAccepts(now),
 	}
 	l.changed = sync.NewCond(&l.mu)
@@ -52,10 +49,10 @@
 }
 
 // Accept accepts the next connection and waits until fewer than max connections are open. After
-// stopAccepting it returns errAcceptStopped once the backlog is empty.
+// stopAccepting it returns neterr.ErrAcceptStopped once the backlog is empty.
 func (l *connLimiter) Accept() (net.Conn, error) {
 	l.paceAccept()
-	accepted, err := l.accept()
+	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +71,15 @@
 	return conn, nil
 }
 
+// stopAccepting makes Accept return the connections that are in the kernel's backlog and then
+// neterr.ErrAcceptStopped.
+func (l *connLimiter) stopAccepting() error {
+	l.mu.Lock()
+	l.stopping = true
+	l.mu.Unlock()
+	return l.StopAccepting()
+}
+
 // makeRoom closes the connection with the longest weighted idle time, or asks its reader to close
 // it. made reports whether a connection has been closed. If not, wait is the time after which one
 // may be closed if nothing arrives on it; 0 means to wait for a change. The caller holds mu.
--- a/internal/platform/pacing.go
+++ b/internal/platform/pacing.go
@@ -49,7 +49,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-l.stopped:
+	case <-l.Stopped():
 	}
 }
 
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -12,6 +12,7 @@
 
 	"oakthread/internal/monotime"
 	"oakthread/internal/mutant"
+	"oakthread/internal/neterr"
 	"oakthread/internal/violation"
 )
 
@@ -102,7 +103,7 @@
 	}
 	select {
 	case err := <-served:
-		if !errors.Is(err, errAcceptStopped) {
+		if !errors.Is(err, neterr.ErrAcceptStopped) {
 			return err
 		}
 	case <-ctx.Done():
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -76,7 +76,7 @@
 // AcceptFailures returns the number of accepts that failed and were retried.
 func (s *Server) AcceptFailures() int64 {
 	if limiter := s.limiter.Load(); limiter != nil {
-		return limiter.acceptFailures.Load()
+		return limiter.Failed()
 	}
 	return 0
 }
--- a/internal/platform/socketstate.go
+++ b/internal/platform/socketstate.go
@@ -43,10 +43,10 @@
 // unreadBytes returns the number of bytes of a connection that the kernel holds, 0 if it is not
 // known.
 func unreadBytes(conn net.Conn) (bytes int) {
-	socketValuePositive(conn, func(fd int) (int, error) {
-		var err error
-		bytes, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
-		return bytes, err
+	withDescriptor(conn, func(fd int) {
+		if unread, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			bytes = unread
+		}
 	})
 	return bytes
 }
@@ -61,37 +61,24 @@
 
 // tcpInfo returns the kernel's TCP_INFO of a connection, nil if it is not available.
 func tcpInfo(conn net.Conn) (info *unix.TCPInfo) {
-	socketValuePositive(conn, func(fd int) (int, error) {
+	withDescriptor(conn, func(fd int) {
 		known, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil && known.State != 0 {
 			info = known
 		}
-		return 0, err
 	})
 	return info
 }
 
-// hasPendingConn reports whether a listener has connections waiting to be accepted.
-func hasPendingConn(ln net.Listener) bool {
-	return socketValuePositive(ln, func(fd int) (int, error) {
-		return unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-}
-
-// socketValuePositive reports whether the value that query reads from a socket's descriptor is
-// above 0. It is false if the socket has no descriptor or query fails.
-func socketValuePositive(socket any, query func(fd int) (int, error)) bool {
-	withDescriptor, ok := socket.(syscall.Conn)
+// withDescriptor calls use with the descriptor of a connection, unless it has none or is closed.
+func withDescriptor(conn net.Conn, use func(fd int)) {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
-	raw, err := withDescriptor.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
-	}
-	value := 0
-	if raw.Control(func(fd uintptr) { value, err = query(int(fd)) }) != nil {
-		return false
+		return
 	}
-	return err == nil && value > 0
+	_ = raw.Control(func(fd uintptr) { use(int(fd)) })
 }
--- a/webhook/front.go
+++ b/webhook/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -212,16 +213,18 @@
 	if ln == nil {
 		return err
 	}
+	var open sync.WaitGroup // connections
 	server := &http.Server{
 		Handler:           f.Receiver,
+		ConnState:         countConns(&open),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
-	ln = netutil.LimitListener(neterr.NewListener(ln, f.log), MaxConns)
+	listener := neterr.NewListener(ln, f.log)
 	served := make(chan error, 1)
-	go func() { served <- f.serve(server, ln) }() // returns after Shutdown, or when accepting fails
+	go func() { served <- f.serve(server, netutil.LimitListener(listener, MaxConns)) }()
 	f.log.Info("webhook front serving", "listen", ln.Addr().String(), "operators", len(f.options.Operators),
 		"mtls", f.identities != nil)
 	handOver := f.handOverTurn(ctx, linger)
@@ -230,9 +233,30 @@
 		return err
 	case <-handOver:
 	}
-	err = server.Shutdown(context.Background()) // waits for calls, which end at their deadlines
-	<-served
-	return err
+	if err := listener.StopAccepting(); err != nil {
+		return fmt.Errorf("stop accepting connections: %w", err)
+	}
+	// Closes idle connections, and each other one after its answer. http.Server.Shutdown would close
+	// those that were accepted a moment before.
+	server.SetKeepAlivesEnabled(false)
+	if err := <-served; !errors.Is(err, neterr.ErrAcceptStopped) {
+		return err
+	}
+	open.Wait() // calls end at their deadlines
+	return nil
+}
+
+// countConns returns a ConnState hook of a server that counts its connections in open.
+func countConns(open *sync.WaitGroup) func(net.Conn, http.ConnState) {
+	return func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			open.Done()
+		case http.StateActive, http.StateIdle:
+		}
+	}
 }
 
 // handOverTurn gives up the turn once ctx is done and linger is nearly over. It closes the returned
--- a/webhook/takeover_test.go
+++ b/webhook/takeover_test.go
@@ -36,6 +36,7 @@
 type sharedState struct {
 	t       *testing.T
 	options *Options
+	wrap    func(net.Listener) net.Listener // of each process's listener; nil: as it is
 }
 
 func newSharedState(t *testing.T, notifyURL string) *sharedState {
@@ -78,6 +79,9 @@
 		if err == nil {
 			p.listening <- ln.Addr().String()
 		}
+		if err == nil && s.wrap != nil {
+			return s.wrap(ln), nil
+		}
 		return ln, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
