Whether a connection pipelines is noted before its answer is written

Cause, found by reading: since bytes in the kernel count as pipelined, and they were looked for when the handler had ended. An answer of over 8 KB has reached its client by then, whose next request may be there already: a client that keeps to the protocol would have been paced.

Change: it is noted once the whole request is read and before any byte of the answer is written; for requests without a body at their start.

No test forces the crossing.

--- a/internal/platform/pacing.go
+++ b/internal/platform/pacing.go
@@ -39,8 +39,14 @@
 	return wait
 }
 
-// noteIfPipelined records, before the answer is sent, whether bytes of the next request have arrived.
-func (c *clientConn) noteIfPipelined() { c.nextPipelined = c.limiter.hasBytesBehind(c) }
+// noteIfPipelined records whether bytes of the next request have arrived. It is called once the whole
+// request is read and before any byte of the answer is written, upon which the client may send its next
+// one. c is nil for a connection without a limiter.
+func (c *clientConn) noteIfPipelined() {
+	if c != nil {
+		c.nextPipelined = c.limiter.hasBytesBehind(c)
+	}
+}
 
 // paceAccept waits until the next connection may be accepted, or until stopAccepting.
 func (l *connLimiter) paceAccept() {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -120,7 +120,6 @@
 		conn.limiter.setCancel(conn, cancelRequest)
 		r = r.WithContext(ctx)
 		conn.pace(ctx, bodyLength(r))
-		defer conn.noteIfPipelined()
 	}
 	if conn != nil && conn.ambiguous.Load() {
 		s.rejectMalformed(w, http.StatusBadRequest, errAmbiguousLengths)
@@ -131,6 +130,7 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	} else {
 		s.beginRequest(conn, r.Header.Get(callIDHeader))
+		conn.noteIfPipelined()
 	}
 	if len(r.TransferEncoding) > 0 { // only net/http sees its end: no request is read after it
 		w.Header().Set("Connection", "close")
@@ -189,6 +189,7 @@
 		request.CallerGone = func() bool { return clientMayHaveLeft(conn.Conn) }
 	}
 	answer, err := s.dispatch(r.Context(), conn, request)
+	conn.noteIfPipelined()
 	s.announceClose(w, r)
 	if late := time.Since(request.Deadline); err == nil && began.Before(request.Deadline) && late > maxResponseDelay {
 		s.reportViolation(violation.RuleInTime, violation.PathAnswer, request.ID,
