--- a/ingress/doc.go
+++ b/ingress/doc.go
@@ -12,7 +12,7 @@
 	Accepted          Refusal = iota
 	TooManyFields             // its head has more than MaxHeadFields fields
 	MemoryExhausted           // the requests of all clients hold too much, and it is the slowest of them
-	TooMuchPipelined          // more bytes have arrived behind it than its connection may hold
+	TooMuchPipelined          // more bytes have arrived after it than its connection may hold
 	AnswersNotRead            // its client does not read the answers to earlier requests
 	refusalReasonsEnd         // number of reasons
 )
--- a/internal/platform/connactivity.go
+++ b/internal/platform/connactivity.go
@@ -64,8 +64,9 @@
 	return conn.pipelined
 }
 
-// hasBytesBehind reports whether bytes have arrived after the request in flight, read or not.
-func (l *connLimiter) hasBytesBehind(conn *clientConn) bool {
+// hasPipelinedData reports whether bytes have arrived after the request in flight, including those that
+// net/http has not read.
+func (l *connLimiter) hasPipelinedData(conn *clientConn) bool {
 	l.mu.Lock()
 	read := conn.pipelined || conn.aheadBytes > 0
 	l.mu.Unlock()
--- a/internal/platform/disconnect_test.go
+++ b/internal/platform/disconnect_test.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// goneClients is the number of clients that disconnect while their connection is in the accept backlog.
+const goneClients = 20
+
+// goneClientID returns the request id of such a client.
+func goneClientID(i int) string { return fmt.Sprintf("%016x", 0x100+i) }
+
+// playClientsGoneFromTheBacklog has a server accept the connections of clients that have sent a call and
+// disconnected, between a first and a last call that are served. It returns the testbed after its
+// shutdown.
+func playClientsGoneFromTheBacklog(t *testing.T, disconnect func(c *net.TCPConn) error) *testbed {
+	t.Helper()
+	listener := newPausingListener()
+	s := newTestbed(t, testbedOptions{listener: listener.wrap}, newRecordingExecutor(t, nil))
+	require.Equal(t, http.StatusOK, s.call(firstID, "path-check")) // later accepts wait
+	for i := range goneClients {
+		require.NoError(t, disconnect(s.send(goneClientID(i), "path-book")))
+	}
+	close(listener.resume)
+	require.Equal(t, http.StatusOK, s.call(lastID, "path-check"))
+	s.close()
+	return s
+}
+
 // Nothing is written for a client that disconnected while its connection was in the accept backlog.
 // The soak test found this with seed 1031, which makes accepts fail and processes end.
 func TestNothingIsWrittenForAClientGoneFromTheBacklog(t *testing.T) {
@@ -82,18 +105,9 @@
 	for mode, disconnect := range modes {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
-			listener := newPausingListener()
-			s := newTestbed(t, testbedOptions{listener: listener.wrap}, newRecordingExecutor(t, nil))
-			require.Equal(t, http.StatusOK, s.call(firstID, "path-check")) // later accepts wait
-			const clients = 20
-			for i := range clients {
-				require.NoError(t, disconnect(s.send(fmt.Sprintf("%016x", 0x100+i), "path-book")))
-			}
-			close(listener.resume)
-			require.Equal(t, http.StatusOK, s.call(thirdID, "path-check"))
-			s.close()
-			for i := range clients {
-				assert.NotContains(t, s.executors[0].requests(), fmt.Sprintf("%016x", 0x100+i))
+			s := playClientsGoneFromTheBacklog(t, disconnect)
+			for i := range goneClients {
+				assert.NotContains(t, s.executors[0].requests(), goneClientID(i))
 			}
 		})
 	}
@@ -105,16 +119,7 @@
 	for mode, disconnect := range disconnectModes {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
-			listener := newPausingListener()
-			s := newTestbed(t, testbedOptions{listener: listener.wrap}, newRecordingExecutor(t, nil))
-			require.Equal(t, http.StatusOK, s.call(firstID, "path-check")) // later accepts wait
-			const clients = 20
-			for i := range clients {
-				require.NoError(t, disconnect(s.send(fmt.Sprintf("%016x", 0x100+i), "path-book")))
-			}
-			close(listener.resume)
-			require.Equal(t, http.StatusOK, s.call(secondID, "path-check"))
-			s.close()
+			s := playClientsGoneFromTheBacklog(t, disconnect)
 			assert.Equal(t, 1, s.dialCount(), "the connection of the first call serves the last one")
 		})
 	}
--- a/internal/platform/pacing.go
+++ b/internal/platform/pacing.go
@@ -44,7 +44,7 @@
 // one. c is nil for a connection without a limiter.
 func (c *clientConn) noteIfPipelined() {
 	if c != nil {
-		c.nextPipelined = c.limiter.hasBytesBehind(c)
+		c.nextPipelined = c.limiter.hasPipelinedData(c)
 	}
 }
 
--- a/internal/platform/requestlimits.go
+++ b/internal/platform/requestlimits.go
@@ -88,13 +88,13 @@
 	return true
 }
 
-// checkDispatch returns why the complete request on a connection must not be dispatched: it exceeds the
-// memory of requests, although no unfinished request is left to be refused, or so much is unread
-// behind it that it could not be written.
+// checkDispatch returns why the complete request on a connection must not be dispatched. It may exceed
+// the memory of requests, if no unfinished request is left to be refused. Or so many bytes may be
+// unread after it that clientMayHaveLeft will hold and the request could not be written.
 func (l *connLimiter) checkDispatch(conn *clientConn) ingress.Refusal {
 	l.mu.Lock()
 	exceedsMemory := conn.exceedsMemory && !l.memory.Fits()
-	// Asked before the kernel is: what is read ahead meanwhile must not count twice.
+	// Read before unreadBytes: bytes that are read ahead in between must not count twice.
 	readAheadRoom := max(maxReadAheadBytes-int(conn.aheadBytes), 0)
 	l.mu.Unlock()
 	switch {
--- a/internal/platform/testbed_test.go
+++ b/internal/platform/testbed_test.go
@@ -25,7 +25,10 @@
 )
 
 // Request IDs.
-const firstID, secondID, thirdID = "0000000000000001", "0000000000000002", "0000000000000003"
+const (
+	firstID, secondID, thirdID = "0000000000000001", "0000000000000002", "0000000000000003"
+	lastID                     = "00000000000000ff"
+)
 
 // recordingExecutor is an executor that records the complete requests it receives.
 type recordingExecutor struct {
--- a/webhook/drain_test.go
+++ b/webhook/drain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -39,7 +38,7 @@
 // Guards against messages that are reset or get no answer because their connections wait in the
 // accept backlog when the front shuts down.
 func TestShutdownAnswersTheBacklog(t *testing.T) {
-	url, _ := notified(t)
+	url, _ := startOperator(t)
 	state := newSharedState(t, url)
 	state.wrap = func(ln net.Listener) net.Listener {
 		return &lateListener{TCPListener: ln.(*net.TCPListener), stopped: make(chan struct{})}
@@ -65,7 +64,7 @@
 // Guards against a connection that is closed without an answer because its message arrives after the
 // front has stopped accepting.
 func TestShutdownAnswersConnectionsAcceptedBefore(t *testing.T) {
-	url, _ := notified(t)
+	url, _ := startOperator(t)
 	process := newSharedState(t, url).start()
 	addr := <-process.listening
 	sender, err := net.Dial("tcp", addr)
@@ -88,11 +87,8 @@
 // writeMessage writes a message that asks for a booking to a connection of its sender.
 func writeMessage(t *testing.T, sender net.Conn, id string) {
 	t.Helper()
-	body := requestBody("path-book", testFunction, "x")
-	request, err := http.NewRequest(http.MethodPost, "http://"+sender.RemoteAddr().String()+"/", bytes.NewReader(body))
-	require.NoError(t, err)
-	request.Header = signed(t, secret(1), id, time.Now(), body)
-	require.NoError(t, request.Write(sender))
+	message := bookingMessage(t, sender.RemoteAddr().String(), id, time.Now())
+	require.NoError(t, message.Write(sender))
 }
 
 // readStatus reads a response and returns its status.
--- a/webhook/takeover_test.go
+++ b/webhook/takeover_test.go
@@ -18,9 +18,9 @@
 	"oakthread"
 )
 
-// notified returns the URL of an operator that accepts every notification, and the channel that gets
-// their call ids.
-func notified(t *testing.T) (url string, ids chan string) {
+// startOperator starts an operator's endpoint that accepts every notification. It returns its URL and
+// a channel that receives the call ids of the notifications.
+func startOperator(t *testing.T) (url string, ids chan string) {
 	t.Helper()
 	ids = make(chan string, 64)
 	operator := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -32,7 +32,7 @@
 	return operator.URL, ids
 }
 
-// sharedState is what the processes of one dispatcher have in common.
+// sharedState holds what the processes of one dispatcher share: the options with the state file.
 type sharedState struct {
 	t       *testing.T
 	options *Options
@@ -53,7 +53,7 @@
 	return &sharedState{t: t, options: options}
 }
 
-// frontProcess is a front as a process has it, with a core of its own.
+// frontProcess stands for a process with a front and a core.
 type frontProcess struct {
 	*Front
 	t         *testing.T
@@ -106,11 +106,7 @@
 // book sends a path-book message, signed at a time, and returns the status, and whether the outcome
 // was recorded before.
 func (p *frontProcess) book(addr, id string, at time.Time) (status int, recorded bool) {
-	body := requestBody("path-book", testFunction, "x")
-	request, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", bytes.NewReader(body))
-	require.NoError(p.t, err)
-	request.Header = signed(p.t, secret(1), id, at, body)
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.DefaultClient.Do(bookingMessage(p.t, addr, id, at))
 	if !assert.NoError(p.t, err) {
 		return 0, false
 	}
@@ -118,12 +114,22 @@
 	return response.StatusCode, response.Header.Get("Oakthread-Recorded") == "1"
 }
 
-// Guards against an upgrade that cannot come about because both versions need the state file, and
-// against bookings that run at both: the next process starts beside the one that has the file, tells
-// of completions from a spool, accepts messages once the other gives up its turn, and admits them
-// once the other has recorded its last outcome.
+// bookingMessage returns a path-book message that is signed at a time.
+func bookingMessage(t *testing.T, addr, id string, at time.Time) *http.Request {
+	t.Helper()
+	body := requestBody("path-book", testFunction, "x")
+	request, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", bytes.NewReader(body))
+	require.NoError(t, err)
+	request.Header = signed(t, secret(1), id, at, body)
+	return request
+}
+
+// Guards against an upgrade that fails because both versions need the state file, and against bookings
+// that run at both: the next process starts beside the one that has the file, sends notifications
+// from a spool, accepts messages once the other gives up its turn, and admits them once the other has
+// recorded its last outcome.
 func TestNextProcessTakesStateFileOver(t *testing.T) {
-	url, ids := notified(t)
+	url, ids := startOperator(t)
 	state := newSharedState(t, url)
 	first := state.start()
 	addr := <-first.listening
@@ -174,23 +180,20 @@
 	assert.Equal(t, []string{state.options.State, state.options.State + turnSuffix}, left)
 }
 
-// Guards against messages that wait for ever where the process before does not end: they are turned
-// away when the process that waits ends itself.
+// Guards against messages that wait forever because the previous process does not end: they are
+// rejected when the waiting process shuts down.
 func TestWaitingMessagesAreTurnedAwayAtTheEnd(t *testing.T) {
 	state := newSharedState(t, "")
 	holder, err := OpenStore(state.options.State, 10)
 	require.NoError(t, err)
 	defer holder.Close()
-	require.NoError(t, os.WriteFile(state.options.State+turnSuffix, nil, 0o600)) // the holder had it
+	require.NoError(t, os.WriteFile(state.options.State+turnSuffix, nil, 0o600)) // the holder had the turn
 	process := state.start()
 	<-process.listening
 	status := make(chan int, 1)
 	go func() {
-		body := requestBody("path-book", testFunction, "x")
-		request := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(body))
-		request.Header = signed(t, secret(1), "m", time.Now(), body)
 		recorder := httptest.NewRecorder()
-		process.ServeHTTP(recorder, request)
+		process.ServeHTTP(recorder, bookingMessage(t, "front", "m", time.Now()))
 		status <- recorder.Code
 	}()
 	process.stop()
@@ -199,9 +202,9 @@
 }
 
 // Guards against notifications that are lost with a process that is killed before it has the state
-// file: the one that has it delivers them. The spool of a process that runs is left alone.
+// file: the process that has the file delivers them. The spool of a running process is left alone.
 func TestSpoolOfKilledProcessIsRecovered(t *testing.T) {
-	url, ids := notified(t)
+	url, ids := startOperator(t)
 	state := newSharedState(t, url)
 	killed, err := openSpool(state.options.State, 10)
 	require.NoError(t, err)
@@ -210,7 +213,7 @@
 	require.NoError(t, killed.enqueue([]*notification{{ID: "x", Operator: "a", Body: body, CreatedAt: time.Now()}}))
 	running, err := openSpool(state.options.State, 10)
 	require.NoError(t, err)
-	require.NoError(t, killed.db.Close()) // as its end does; Close would move on
+	require.NoError(t, killed.db.Close()) // like a kill; Close would move the notifications
 
 	owner := state.start()
 	<-owner.listening
@@ -222,8 +225,8 @@
 	owner.stop()
 }
 
-// Guards against messages that a new version takes beside a version of an earlier release, which
-// knows no turn: it listens once that has closed the state file.
+// Guards against messages that a new version accepts at the same time as an earlier release, which has
+// no turn: the new version listens once the earlier one has closed the state file.
 func TestTakesOverFromReleaseWithoutTurn(t *testing.T) {
 	state := newSharedState(t, "")
 	earlier, err := OpenStore(state.options.State, 10)
